--- a/eslint.config.js
+++ b/eslint.config.js
@@ -13,7 +13,7 @@
 })
 
 export default tseslint.config(
-  { ignores: ['**/dist/**', '**/node_modules/**'] },
+  { ignores: ['**/dist/**', 'target/**', 'journal/**', '**/node_modules/**'] },
   ...tseslint.configs.recommended,
   standardFormat,
   {
--- a/packages/core/__tests__/retryBudget.test.ts
+++ b/packages/core/__tests__/retryBudget.test.ts
@@ -56,7 +56,7 @@
     harness.advance(20)
     harness.end(harness.attemptOf(id), 'notRun')
     expect(harness.started.filter(attempt => attempt.callId === id)).to.have.length(1)
-    expect(harness.results.get(id)).to.deep.equal({ kind: 'notRun', code: 'shed' })
+    expect(harness.results.get(id)).to.deep.equal({ kind: 'notRun', code: 'shed', retryAfterMs: 60 })
   })
 
   // Guards against a server error that reaches the caller although another upstream can answer, and against one that is lost.
--- a/packages/core/src/core/admission.ts
+++ b/packages/core/src/core/admission.ts
@@ -1,3 +1,4 @@
+import type { Milliseconds } from '../types/clock.js'
 import type { Call } from '../types/dispatch.js'
 import type { ResultCodeName } from '../types/resultCode.js'
 import type { RoutingContext } from './routingContext.js'
@@ -19,7 +20,16 @@
   const now = clock.now()
   const startsEveryMs = model.meanServiceMs() / Math.max(1, running)
   const waitMs = queue.expectedWaitMs(call.kind, now, startsEveryMs)
-  const neededMs = model.quantileMs(call.kind, policy.hopelessQuantile) ?? model.kindMs(call.kind)
-  const spareMs = call.deadlineAt - now - neededMs
-  return waitMs <= spareMs * policy.queueWaitShare
+  return waitMs <= (latestStartAt(context, call) - now) * policy.queueWaitShare
+}
+
+/**
+ * When a waiting call has to start to be answered in time: by its target, or by its deadline where the target is out of
+ * reach even without a wait.
+ */
+export function latestStartAt (context: RoutingContext, call: Call): Milliseconds {
+  const { model } = context
+  const neededMs = model.quantileMs(call.kind, context.policyOf(call.kind).hopelessQuantile) ?? model.kindMs(call.kind)
+  const forTarget = (call.targetAt ?? call.deadlineAt) - neededMs
+  return forTarget > call.arrivedAt ? forTarget : call.deadlineAt - neededMs
 }
--- a/packages/core/src/core/attemptOutcomes.ts
+++ b/packages/core/src/core/attemptOutcomes.ts
@@ -44,13 +44,14 @@
 
   takeReport (state: UpstreamState, report: LoadReport): void {
     judgeReport(state, report, this.context.policy)
+    this.context.model.onReport(report)
     this.context.table.takeReport(state, report)
     if (report.draining) this.context.table.markDraining(state, report.receivedAt + this.context.policy.drainHoldMs, true)
   }
 
   private learnUpstream (attempt: AttemptState, end: AttemptEnd): void {
     if (isUpstreamFailure(end)) this.learnFailure(attempt, end)
-    else if (end.kind === 'answered') this.learnAnswer(attempt)
+    else if (end.kind === 'answered') this.learnAnswer(attempt, end)
     else if (end.kind === 'notRun') this.learnShed(attempt)
     else if (attempt.isTrial) this.context.outliers.onTrialAbandoned(attempt.state)
   }
@@ -79,24 +80,27 @@
   /**
    * A refused or lost connection leaves no capacity to protect, so this holds whatever the ejection cap says:
    * calls would spend their attempts within a millisecond on upstreams that are not listening. The pause grows with
-   * the time down, so that the return is noticed after a fixed part of the outage.
+   * the time down, so that the return is noticed after a fixed part of the outage. The same holds for probes that
+   * find no upstream.
    */
-  private backOff (state: UpstreamState, now: Milliseconds): void {
+  backOff (state: UpstreamState, now: Milliseconds): void {
     const { refusedBackOffMs, refusedBackOffMaxMs, refusedBackOffShare } = this.context.policy
     state.downSince ??= now
     const pauseMs = Math.max(refusedBackOffMs, (now - state.downSince) * refusedBackOffShare)
     state.backOffUntil = now + Math.min(pauseMs, refusedBackOffMaxMs)
   }
 
-  private learnAnswer (attempt: AttemptState): void {
+  private learnAnswer (attempt: AttemptState, end: AttemptEnd): void {
     const { model, outliers, clock, policy } = this.context
     const now = clock.now()
     const latencyMs = now - attempt.startedAt
     attempt.state.downSince = undefined
     const { kind } = attempt.owner.call
+    if (end.bytes !== undefined) model.onAnswerSize(kind, end.bytes)
     judgeLatency(attempt, latencyMs, policy)
     const ratio = model.ratioOfLatency(kind, latencyMs)
-    model.onAnswer(kind, attempt.state, latencyMs, attempt.predictedWaitMs, now)
+    const relativeTime = (attempt.relativeTime + model.relativeTimeOf(attempt.state, now)) / 2
+    model.onAnswer(kind, attempt.state, latencyMs, attempt.predictedWaitMs, now, relativeTime)
     attempt.state.adaptiveLimit.onLatency(latencyMs, attempt.state.inFlight + 1, policy)
     outliers.onSuccess(attempt.state, ratio, attempt.isTrial, now)
   }
--- a/packages/core/src/core/attemptWatch.ts
+++ b/packages/core/src/core/attemptWatch.ts
@@ -51,7 +51,7 @@
     const policy = this.context.policyOf(kind)
     if (!kind.idempotent || !kind.hedgeable || !replayable) return Infinity
     if (owner.respondingId !== undefined || owner.running.length !== 1) return Infinity
-    if (owner.started >= policy.attemptsPerCall) return Infinity
+    if (owner.started >= this.context.maxAttempts(kind)) return Infinity
     const delayMs = model.quantileMs(kind, policy.hedgeQuantile, LEAST_SAMPLES)
     if (delayMs === undefined) return Infinity
     const dueAt = attempt.startedAt + Math.max(policy.hedgeMinMs, delayMs)
--- a/packages/core/src/core/callEngine.ts
+++ b/packages/core/src/core/callEngine.ts
@@ -2,14 +2,17 @@
 import type { AttemptPurpose, Call, CallResult, CancelReason } from '../types/dispatch.js'
 import type { ResultCodeName } from '../types/resultCode.js'
 import type { Timer } from '../utils/timerQueue.js'
-import { refusalOnArrival } from './admission.js'
+import { latestStartAt, refusalOnArrival } from './admission.js'
 import { isRepeatable, resultWithoutAnswer } from './attemptEnds.js'
 import { learnFromCancel } from './cancelLessons.js'
 import { AttemptWatch } from './attemptWatch.js'
 import { createCallState, type AttemptState, type CallState } from './callState.js'
 import { countResult } from './dispatchCounters.js'
+import { LoadProbes } from './loadProbes.js'
 import { ParkedCalls } from './parkedCalls.js'
+import { withRetryAfter } from './retryAfter.js'
 import type { RoutingContext } from './routingContext.js'
+import type { UpstreamState } from './upstreamState.js'
 import { chooseUpstream, type Choice } from './upstreamChoice.js'
 
 /** Moves calls between waiting, running and finished. */
@@ -19,12 +22,14 @@
   private readonly retries: CallState[] = []
   private readonly parked = ParkedCalls.create()
   private readonly watch: AttemptWatch
+  private readonly probes: LoadProbes
   private nextAttemptId = 1
   private isPumping = false
   private recheckTimer: Timer | undefined
 
   private constructor (private readonly context: RoutingContext) {
     this.watch = AttemptWatch.create(context, this)
+    this.probes = LoadProbes.create(context, state => this.resumeProbed(state))
   }
 
   static create (context: RoutingContext): CallEngine {
@@ -32,7 +37,7 @@
   }
 
   get waitingCalls (): number {
-    return this.context.queue.size + this.retries.length + this.parked.size
+    return this.context.queue.size + this.retries.length + this.parked.size + this.probes.size
   }
 
   submit (call: Call): void {
@@ -76,7 +81,7 @@
 
   mayRetry (state: CallState): boolean {
     const { model, clock } = this.context
-    if (!isRepeatable(state) || state.started >= this.context.policyOf(state.call.kind).attemptsPerCall) return false
+    if (!isRepeatable(state) || state.started >= this.context.maxAttempts(state.call.kind)) return false
     const typicalMs = model.quantileMs(state.call.kind, 0.5) ?? 0
     return clock.now() + typicalMs < state.call.deadlineAt
   }
@@ -104,7 +109,7 @@
     this.context.timers.cancel(state.deadlineTimer)
     this.calls.delete(state.call.id)
     countResult(this.context.counters, result)
-    this.context.port.finishCall(state.call.id, result)
+    this.context.port.finishCall(state.call.id, withRetryAfter(this.context, state.call, result))
     this.resumeParked(state.call.fingerprint)
   }
 
@@ -163,7 +168,10 @@
     const { model, timers, clock } = this.context
     const { hopelessQuantile } = this.context.policyOf(state.call.kind)
     const neededMs = model.quantileMs(state.call.kind, hopelessQuantile) ?? 0
-    const at = Math.max(clock.now(), state.call.deadlineAt - neededMs)
+    const latest = state.started === 0 && state.call.targetAt !== undefined
+      ? latestStartAt(this.context, state.call)
+      : state.call.deadlineAt - neededMs
+    const at = Math.max(clock.now(), latest)
     state.startTimer = timers.schedule(at, () => this.finish(state, result()))
   }
 
@@ -183,6 +191,17 @@
     return true
   }
 
+  /** A probe of an upstream ended, with or without a report. */
+  onProbeEnd (upstream: UpstreamState): void {
+    this.probes.onEnd(upstream)
+  }
+
+  /** The probes of a call were answered, or have taken too long. */
+  private resumeProbed (state: CallState): void {
+    this.enqueue(state, this.context.clock.now())
+    this.pump()
+  }
+
   private resumeParked (fingerprint: string): void {
     if (this.parked.size === 0 && !this.parked.isTrying(fingerprint)) return
     for (const state of this.parked.endTrial(fingerprint, this.calls)) {
@@ -218,6 +237,11 @@
     if (this.isHeldAsSuspect(state)) return true
     const choice = chooseUpstream(context, state, 'first')
     if (choice === undefined) return this.refuseWithoutTakers(state)
+    if (!choice.isTrial && this.probes.begin(state)) {
+      this.leavePlace(state)
+      state.place = 'probing'
+      return true
+    }
     context.queue.depart(state, context.clock.now())
     this.leavePlace(state)
     this.startOn(choice, state, 'first')
@@ -247,6 +271,7 @@
       state: target,
       startedAt: now,
       predictedWaitMs: context.model.predictedWaitMs(target, now, target.reportTrust),
+      relativeTime: context.model.relativeTimeOf(target, now),
       reportedWaitMs: context.model.predictedWaitMs(target, now, 1),
       progressAt: now,
       timer: undefined,
@@ -278,6 +303,7 @@
     if (state.place === 'queued') this.context.queue.remove(state)
     if (state.place === 'awaitingRetry') this.retries.splice(this.retries.indexOf(state), 1)
     if (state.place === 'parked') this.parked.remove(state)
+    if (state.place === 'probing') this.probes.remove(state)
     this.context.timers.cancel(state.startTimer)
   }
 
--- a/packages/core/src/core/callState.ts
+++ b/packages/core/src/core/callState.ts
@@ -4,8 +4,8 @@
 import type { Timer } from '../utils/timerQueue.js'
 import type { UpstreamState } from './upstreamState.js'
 
-/** Where a call is: `parked` calls wait for the trial of a suspect request. */
-export type CallPlace = 'new' | 'queued' | 'awaitingRetry' | 'parked' | 'running' | 'finished'
+/** Where a call is: `probing` calls wait for load probes, `parked` calls wait for the trial of a suspect request. */
+export type CallPlace = 'new' | 'queued' | 'probing' | 'awaitingRetry' | 'parked' | 'running' | 'finished'
 
 /** A call that is not finished. */
 export interface CallState {
@@ -25,6 +25,8 @@
   readonly triedDomains: Set<string>
   /** Set after a stall: the next attempt needs a proven connection. */
   needsProvenConnection: boolean
+  /** Whether probes were sent for this call. */
+  isProbed: boolean
 }
 
 /** An attempt under way. */
@@ -37,6 +39,8 @@
   readonly predictedWaitMs: Milliseconds
   /** The same if the report is taken at its word. */
   readonly reportedWaitMs: Milliseconds
+  /** How long work took at the upstream at the start, relative to its usual time. */
+  readonly relativeTime: number
   progressAt: Milliseconds
   timer: Timer | undefined
   readonly isTrial: boolean
@@ -60,6 +64,7 @@
     lastCode: undefined,
     triedUpstreams: new Set(),
     triedDomains: new Set(),
-    needsProvenConnection: false
+    needsProvenConnection: false,
+    isProbed: false
   }
 }
--- a/packages/core/src/core/dispatcher.ts
+++ b/packages/core/src/core/dispatcher.ts
@@ -106,6 +106,16 @@
     if (state === undefined) return
     this.outcomes.takeReport(state, report)
     this.context.picker.onProbeReport?.(upstreamId, report)
+    this.engine.onProbeEnd(state)
+    this.engine.pump()
+  }
+
+  /** A probe brought no report: the upstream cannot be reached, or another one answers at its address. */
+  onProbeLost (upstreamId: string): void {
+    const state = this.context.table.get(upstreamId)
+    if (state === undefined) return
+    this.outcomes.backOff(state, this.context.clock.now())
+    this.engine.onProbeEnd(state)
     this.engine.pump()
   }
 
--- a/packages/core/src/core/expectedDelayPicker.ts
+++ b/packages/core/src/core/expectedDelayPicker.ts
@@ -11,6 +11,9 @@
 // How many times its service time an upstream that joins is expected to need beyond it, until its first response.
 // Too high a guess only delays the first attempt there.
 const COLD_SLOWDOWN = 4
+// An upstream that leaves probes unanswered has probably vanished; others are chosen while they answer within this share of the deadline.
+const UNRESPONSIVE_COST_SHARE = 0.5
+const BYTES_PER_KILOBYTE = 1024
 const LEAST_VARIANCE = 0.05
 // An upstream that was not heard from is chosen unless it is expected to take more than half as long again as the best.
 const REFRESH_COST_SHARE = 2 / 3
@@ -68,6 +71,13 @@
     return leastExcess > this.holdExcess(around, context) && this.isShareUsed(around) ? undefined : best
   }
 
+  rank (candidates: readonly UpstreamView[], context: PickContext, count: number): readonly UpstreamView[] {
+    const around = survey(candidates, context)
+    const costs = candidates.map(view => ({ view, cost: this.cost(view, this.estimate(view, around, context), context) }))
+    costs.sort((one, other) => one.cost - other.cost)
+    return costs.slice(0, count).map(({ view }) => view)
+  }
+
   /**
    * Queue per slot above which calls are held back. A VM that holds a burst back loses its turn to VMs that send at
    * once, so it holds early only where the backlog lasts and what is to run must be chosen by value.
@@ -110,6 +120,13 @@
     return (view.reportTrust ?? 1) * Math.exp(-age / (serviceMs * this.policy.reportAgingServiceTimes))
   }
 
+  /** What leaving the own failure domain is worth avoiding. */
+  private domainCost (view: UpstreamView, context: PickContext): Milliseconds {
+    if (context.ownDomain === undefined || view.upstream.failureDomain === context.ownDomain) return 0
+    const kilobytes = (context.answerBytes ?? 0) / BYTES_PER_KILOBYTE
+    return this.policy.crossDomainCostMs + kilobytes * this.policy.crossDomainCostPerKilobyteMs
+  }
+
   private cost (view: UpstreamView, estimate: DelayEstimate, context: PickContext): number {
     const borrowed = view.slotShare !== undefined && view.inFlight >= view.slotShare
     const avoided = context.avoidDomains.has(view.upstream.failureDomain)
@@ -117,6 +134,8 @@
     if (borrowed) cost += this.policy.borrowCostShare * estimate.serviceMs
     if (avoided) cost += AVOIDED_DOMAIN_COST_SHARE * estimate.serviceMs
     cost += view.errorShare * context.kind.deadlineMs
+    cost += this.domainCost(view, context)
+    if (view.isUnresponsive === true) cost += UNRESPONSIVE_COST_SHARE * context.kind.deadlineMs
     if (this.isSilent(view, context)) cost *= REFRESH_COST_SHARE
     // Differences below the noise of the estimates must not send all calls to one upstream and leave the rest unobserved.
     return cost * (1 + this.policy.spreadShare * context.random.next())
--- a/packages/core/src/core/routingContext.ts
+++ b/packages/core/src/core/routingContext.ts
@@ -22,6 +22,8 @@
   readonly port: DispatchPort
   readonly picker: Picker
   readonly policy: RoutingPolicy
+  /** Failure domain of this VM; undefined where domains are all alike. */
+  readonly failureDomain?: string
 }
 
 /** The parts that decide for one service, shared by the modules of its dispatcher. */
@@ -74,6 +76,11 @@
     return this.exceptions.kinds.get(kind.name) ?? this.policy
   }
 
+  /** Upstreams that a call of a kind may be sent to. */
+  maxAttempts (kind: RequestKind): number {
+    return kind.maxAttempts ?? this.policyOf(kind).attemptsPerCall
+  }
+
   setPolicy (policy: RoutingPolicy, exceptions: PolicyExceptions): void {
     this.policy = policy
     this.exceptions = exceptions
--- a/packages/core/src/core/serviceModel.ts
+++ b/packages/core/src/core/serviceModel.ts
@@ -1,6 +1,7 @@
 import type { Milliseconds } from '../types/clock.js'
 import type { RequestKind } from '../types/requestKind.js'
 import type { RoutingPolicy } from '../types/routingPolicy.js'
+import type { LoadReport } from '../types/upstream.js'
 import { LatencyHistogram } from '../utils/latencyHistogram.js'
 import { keptShare } from '../utils/keptShare.js'
 import type { UpstreamState } from './upstreamState.js'
@@ -11,8 +12,12 @@
 const KIND_LEARNING_RATE = 0.02
 const FIRST_GUESS_MS = 5
 
+const ANSWER_SIZE_LEARNING_RATE = 0.1
+const RELATIVE_TIME_LEARNING_RATE = 0.02
+
 interface KindModel {
   baseMs: Milliseconds | undefined
+  answerBytes: number | undefined
   readonly latencies: LatencyHistogram
 }
 
@@ -23,6 +28,8 @@
 export class ServiceModel {
   private readonly kinds = new Map<string, KindModel>()
   private meanMs: Milliseconds | undefined
+  /** Mean of the relative times in reports. */
+  private meanRelativeTime = 1
 
   private constructor (private policy: RoutingPolicy) {}
 
@@ -48,12 +55,36 @@
 
   /** Expected time of `kind` in a slot of `state`. */
   expectedMs (kind: RequestKind, state: UpstreamState, now: Milliseconds): Milliseconds {
-    return this.kindMs(kind) * this.ratioOf(state, now)
+    return this.kindMs(kind) * this.ratioOf(state, now) * this.relativeTimeOf(state, now)
+  }
+
+  /** How long work takes at the upstream now, relative to its usual time: its last report, aged towards the mean of all. */
+  relativeTimeOf (state: UpstreamState, now: Milliseconds): number {
+    const { report } = state
+    if (report?.relativeTime === undefined) return this.meanRelativeTime
+    const kept = Math.exp(-Math.max(0, now - report.receivedAt) / this.policy.relativeTimeAgingMs)
+    return this.meanRelativeTime + (report.relativeTime - this.meanRelativeTime) * kept
+  }
+
+  /** Takes note of a report. */
+  onReport (report: LoadReport): void {
+    if (report.relativeTime === undefined) return
+    this.meanRelativeTime = mix(this.meanRelativeTime, report.relativeTime, RELATIVE_TIME_LEARNING_RATE)
+  }
+
+  /** Mean size of a kind's answers; 0 before the first. */
+  answerBytesOf (kind: RequestKind): number {
+    return this.kinds.get(kind.name)?.answerBytes ?? 0
+  }
+
+  onAnswerSize (kind: RequestKind, bytes: number): void {
+    const model = this.kindOf(kind)
+    model.answerBytes = mix(model.answerBytes ?? bytes, bytes, ANSWER_SIZE_LEARNING_RATE)
   }
 
   /** Wait for a slot at `state` by the last report, as far as the report is recent and trusted. */
   predictedWaitMs (state: UpstreamState, now: Milliseconds, trust: number): Milliseconds {
-    const serviceMs = this.meanServiceMs() * this.ratioOf(state, now)
+    const serviceMs = this.meanServiceMs() * this.ratioOf(state, now) * this.relativeTimeOf(state, now)
     if (state.report === undefined || state.slots === undefined) return 0
     const others = Math.max(0, state.report.inFlight + state.report.queued - state.inFlightAtReport)
     const kept = trust * Math.exp(-(now - state.report.receivedAt) / serviceMs)
@@ -61,11 +92,14 @@
     return Math.max(0, excess) * serviceMs / state.slots
   }
 
-  /** Learns from a response that took `latencyMs`, of which `waitMs` is the predicted wait for a slot. */
-  onAnswer (kind: RequestKind, state: UpstreamState, latencyMs: Milliseconds, waitMs: Milliseconds, now: Milliseconds): void {
+  /**
+   * Learns from a response that took `latencyMs`, of which `waitMs` is the predicted wait for a slot, while work took
+   * `relativeTime` times as long as usual by the upstream's reports.
+   */
+  onAnswer (kind: RequestKind, state: UpstreamState, latencyMs: Milliseconds, waitMs: Milliseconds, now: Milliseconds, relativeTime = 1): void {
     const model = this.kindOf(kind)
     model.latencies.add(latencyMs)
-    const served = Math.max(latencyMs - waitMs, latencyMs / 3)
+    const served = Math.max(latencyMs - waitMs, latencyMs / 3) / relativeTime
     model.baseMs ??= served
     const ratio = clamp(served / Math.max(model.baseMs, 0.001), SMALLEST_RATIO, LARGEST_RATIO)
     model.baseMs = mix(model.baseMs, served / this.ratioOf(state, now), KIND_LEARNING_RATE)
@@ -97,8 +131,8 @@
 
   /** Brings `state.serviceTimeMs` up to date; called before the state is shown to a picker. */
   refresh (state: UpstreamState, now: Milliseconds): void {
-    if (state.slowRatio === undefined) return
-    state.serviceTimeMs = this.meanServiceMs() * this.ratioOf(state, now)
+    if (state.slowRatio === undefined && state.report?.relativeTime === undefined) return
+    state.serviceTimeMs = this.meanServiceMs() * this.ratioOf(state, now) * this.relativeTimeOf(state, now)
   }
 
   /** Ratio of the upstream's times to the mean; returns to 1 while no response confirms it, so that a slow upstream is tried again. */
@@ -121,7 +155,7 @@
   private kindOf (kind: RequestKind): KindModel {
     const known = this.kinds.get(kind.name)
     if (known !== undefined) return known
-    const created: KindModel = { baseMs: undefined, latencies: LatencyHistogram.create() }
+    const created: KindModel = { baseMs: undefined, answerBytes: undefined, latencies: LatencyHistogram.create() }
     this.kinds.set(kind.name, created)
     return created
   }
--- a/packages/core/src/core/upstreamChoice.ts
+++ b/packages/core/src/core/upstreamChoice.ts
@@ -1,6 +1,6 @@
 import type { Milliseconds } from '../types/clock.js'
 import type { AttemptPurpose } from '../types/dispatch.js'
-import type { PickContext } from '../types/picker.js'
+import type { PickContext, UpstreamView } from '../types/picker.js'
 import type { CallState } from './callState.js'
 import type { RoutingContext } from './routingContext.js'
 import type { UpstreamState } from './upstreamState.js'
@@ -27,7 +27,15 @@
   return target === undefined ? undefined : { state: target, isTrial: false }
 }
 
+/** The best upstreams for a call by what is known now, best first. */
+export function rankUpstreams (context: RoutingContext, state: CallState, count: number): readonly UpstreamView[] {
+  const now = context.clock.now()
+  const candidates = context.table.candidates(now, state.triedUpstreams)
+  return context.picker.rank?.(candidates, pickContextFor(context, state, now), count) ?? []
+}
+
 function refresh (context: RoutingContext, upstream: UpstreamState, now: Milliseconds): void {
+  upstream.isUnresponsive = upstream.probeSentAt !== undefined && now - upstream.probeSentAt > context.policy.probeWaitMs
   context.model.refresh(upstream, now)
   context.outliers.refresh(upstream, now)
 }
@@ -48,6 +56,8 @@
     entryCount: context.entryCount,
     entryRank: context.entryRank,
     avoidDomains: state.triedDomains,
+    ownDomain: context.options.failureDomain,
+    answerBytes: context.model.answerBytesOf(state.call.kind),
     backlogMs: context.queue.backlogMs(now)
   }
 }
--- a/packages/core/src/core/upstreamState.ts
+++ b/packages/core/src/core/upstreamState.ts
@@ -41,6 +41,9 @@
   drainingUntil: Milliseconds = 0
   /** Whether this VM saw the draining itself; only such notices are passed to peers, so that they do not circulate for ever. */
   isDrainingSeen = false
+  /** When the probe under way was sent; undefined where none is. */
+  probeSentAt: Milliseconds | undefined
+  isUnresponsive = false
   /** No new work before this instant, after the upstream shed a call. */
   backOffUntil: Milliseconds = 0
   /** Since when connections are refused or lost; undefined after an answer. */
--- a/packages/core/src/types/dispatch.ts
+++ b/packages/core/src/types/dispatch.ts
@@ -11,6 +11,8 @@
   readonly arrivedAt: Milliseconds
   /** Absolute; never later than arrival plus the kind's deadline. */
   readonly deadlineAt: Milliseconds
+  /** Absolute; an answer after it is of little use. The deadline where absent. */
+  readonly targetAt?: Milliseconds | undefined
   /** Identifies requests that are the same to an upstream: method, path and the caller's key or a body hash. */
   readonly fingerprint: string
   /** False once the body can't be sent again, for example when it was streamed without being held. */
@@ -51,12 +53,14 @@
   /** True where the upstream answered with a server error (5xx); such an answer is whole all the same. */
   readonly serverError?: boolean
   readonly report?: LoadReport
+  /** Size of a complete answer. */
+  readonly bytes?: number
 }
 
 /** What the caller gets. */
 export type CallResult =
   | { readonly kind: 'delivered', readonly attemptId: number }
-  | { readonly kind: 'notRun', readonly code: ResultCodeName }
+  | { readonly kind: 'notRun', readonly code: ResultCodeName, readonly retryAfterMs?: Milliseconds }
   | { readonly kind: 'outcomeUnknown', readonly code: ResultCodeName }
   | { readonly kind: 'cancelled' }
 
--- a/packages/core/src/types/picker.ts
+++ b/packages/core/src/types/picker.ts
@@ -25,6 +25,8 @@
   readonly warmth: number
   /** Slots that fall to this VM when all slots of the service are divided among the live entry VMs; undefined where slots are unknown. */
   readonly slotShare?: number | undefined
+  /** Whether the upstream has left a probe unanswered for longer than an answer takes. */
+  readonly isUnresponsive?: boolean
 }
 
 /** Circumstances of one choice. */
@@ -38,6 +40,10 @@
   readonly entryRank: number
   /** Failure domains to avoid where another has room; filled for retries and hedges. */
   readonly avoidDomains: ReadonlySet<string>
+  /** Failure domain of this VM; undefined where domains are all alike. */
+  readonly ownDomain?: string | undefined
+  /** Mean size of the kind's answers. */
+  readonly answerBytes?: number
   /** How long calls have been waiting in this VM's queue without a break; 0 where none waits. */
   readonly backlogMs?: Milliseconds
 }
@@ -48,6 +54,8 @@
   setPolicy? (policy: RoutingPolicy): void
   /** Returns one of `candidates`, or undefined where the call should wait instead. */
   pick (candidates: readonly UpstreamView[], context: PickContext): UpstreamView | undefined
+  /** The best `count` of `candidates`, best first; pickers that cannot tell do not implement it. */
+  rank? (candidates: readonly UpstreamView[], context: PickContext, count: number): readonly UpstreamView[]
   /** Upstreams to probe now for their load; pickers that live on answers alone do not implement it. */
   takeProbeTargets? (candidates: readonly UpstreamView[], context: PickContext): readonly string[]
   /** Receives the report that a probe brought. */
--- a/packages/core/src/types/requestKind.ts
+++ b/packages/core/src/types/requestKind.ts
@@ -13,4 +13,8 @@
   readonly cancellable: boolean
   /** Whether a second attempt may run beside a slow first one; only idempotent kinds are hedged. */
   readonly hedgeable: boolean
+  /** Time from arrival after which an answer is of little use; `deadlineMs` where absent. */
+  readonly targetMs?: Milliseconds
+  /** Upstreams that one call may be sent to; the policy's number where absent. */
+  readonly maxAttempts?: number
 }
--- a/packages/core/src/types/routingPolicy.ts
+++ b/packages/core/src/types/routingPolicy.ts
@@ -27,6 +27,19 @@
   readonly refreshMs: Milliseconds
   /** Time constant by which a load report ages towards the mean, in service times. */
   readonly reportAgingServiceTimes: number
+  /** Time constant by which a reported relative time ages towards the mean. */
+  readonly relativeTimeAgingMs: Milliseconds
+  /** Delay that a call may suffer before it goes to another failure domain. */
+  readonly crossDomainCostMs: Milliseconds
+  /** The same for each kilobyte that the kind's answers have on average. */
+  readonly crossDomainCostPerKilobyteMs: Milliseconds
+
+  /** Best upstreams whose load is asked for before a call is sent, where their reports are old; 0 sends no such probes. */
+  readonly probeUpstreams: number
+  /** Age of a report from which on it is renewed by a probe. */
+  readonly probeReportAgeMs: Milliseconds
+  /** Longest wait of a call for its probes. */
+  readonly probeWaitMs: Milliseconds
 
   /** Requests sent within this time before a report arrived may not have been at the upstream when it was made. */
   readonly reportSettleMs: Milliseconds
@@ -140,6 +153,12 @@
   spreadShare: 0.1,
   refreshMs: 1_000,
   reportAgingServiceTimes: 1,
+  relativeTimeAgingMs: 150,
+  crossDomainCostMs: 0,
+  crossDomainCostPerKilobyteMs: 0,
+  probeUpstreams: 0,
+  probeReportAgeMs: 50,
+  probeWaitMs: 4,
   reportSettleMs: 2,
   reportTrustLoss: 0.5,
   reportTrustGain: 0.05,
--- a/packages/core/src/types/upstream.ts
+++ b/packages/core/src/types/upstream.ts
@@ -14,6 +14,10 @@
   /** Requests that the upstream runs at once; undefined where it does not say. */
   readonly slots?: number
   readonly state: VmState
+  /** Start of the process in milliseconds since the epoch; a restart under the same id has another one. */
+  readonly incarnation?: number
+  /** When the upstream has reached its full speed after its start; absent where it does not say. */
+  readonly warmAt?: Milliseconds
 }
 
 /** An upstream's own account of its load, carried on an ordinary answer. */
@@ -23,6 +27,8 @@
   /** Requests that wait for a slot. */
   readonly queued: number
   readonly slots?: number
+  /** How long work takes on the upstream's machine at this moment, relative to its usual time. */
+  readonly relativeTime?: number
   /** The upstream asks for no new work. */
   readonly draining: boolean
   /** When this VM received the report. */
--- a/packages/daemon/__tests__/proxy.test.ts
+++ b/packages/daemon/__tests__/proxy.test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai'
 import type { RequestListener } from 'node:http'
+import { ProductDialect } from '../src/core/productDialect.js'
 import { Proxy } from '../src/core/proxy.js'
 import { RequestIds } from '../src/core/requestIds.js'
 import { call, portOf, reply, Rig, startUpstream } from './harness.js'
@@ -176,8 +177,8 @@
     const empty = Proxy.create({
       clock: { now: () => 0 },
       ids: RequestIds.create('vm0'),
-      matcher: () => undefined,
-      hostOf: () => undefined,
+      dialect: ProductDialect.create(),
+      route: () => 'notReady',
       keyed: { run: () => undefined },
       bodyTimeoutMs: 1000,
       isStopping: () => false,
--- a/packages/daemon/src/core/attemptRun.ts
+++ b/packages/daemon/src/core/attemptRun.ts
@@ -1,12 +1,13 @@
 import type { Readable } from 'node:stream'
-import type { Dispatcher as UndiciDispatcher } from 'undici'
 import type { AttemptEnd } from '@cowsliplead/core/types/dispatch.js'
 import type { LoadReport } from '@cowsliplead/core/types/upstream.js'
 import type { Clock } from '@cowsliplead/core/types/clock.js'
+import type { Dialect, ResponseMarks } from '../types/dialect.js'
 import type { ResponseHead, StreamDecision } from '../types/responseSink.js'
+import { findHeader } from '../utils/headers.js'
 import type { Connection } from './connectionSet.js'
-import { decodeHeaders, findHeader, LOAD_REPORT_HEADER, NOT_RUN_HEADER, REQUEST_ID_HEADER } from '../utils/headers.js'
-import { parseLoadReport } from '../utils/loadReport.js'
+import type { ExchangeHandler, ExchangeLoss } from './upstreams/httpConnection.js'
+import type { ParsedHead } from './upstreams/responseParser.js'
 
 /** Responses up to this size are held until they are complete, so that a cut one can be retried. */
 export const HELD_RESPONSE_BYTES = 64 * 1024
@@ -15,10 +16,12 @@
 export interface AttemptRequest {
   readonly method: string
   readonly path: string
-  readonly headers: string[]
+  readonly headers: readonly string[]
   readonly body: Buffer | Readable | null
-  /** Upstreams echo it. */
-  readonly requestId: string
+  /** The id that the response has to echo. */
+  readonly echoedId: string
+  /** Whether the request may be sent to another upstream after this one. */
+  readonly isRepeatable: boolean
 }
 
 /** The owner of an attempt. */
@@ -40,131 +43,150 @@
 }
 
 /** How far an attempt has come. */
-type AttemptStage = 'waiting' | 'sent' | 'crossed' | 'refused' | 'holding' | 'streaming' | 'ended'
+type AttemptStage = 'waiting' | 'sent' | 'refused' | 'holding' | 'streaming' | 'ended'
+
+/** What an attempt is made of. */
+export interface AttemptRunOptions {
+  readonly attemptId: number
+  readonly callId: number
+  readonly connection: Connection
+  readonly request: AttemptRequest
+  readonly observer: AttemptObserver
+  readonly clock: Clock
+  readonly dialect: Dialect
+}
 
-/** One request to one upstream. Implements undici's handler with raw headers, which skips building header objects. */
-export class AttemptRun implements UndiciDispatcher.DispatchHandler {
+/** One request to one upstream. */
+export class AttemptRun implements ExchangeHandler {
+  readonly attemptId: number
+  readonly callId: number
+  readonly connection: Connection
   /** True where the attempt was cancelled before its connection was there; the connection is then of no use. */
   neverSent = false
-  private stage: AttemptStage = 'waiting'
-  private abort: ((error?: Error) => void) | undefined
-  private resumeReading: (() => void) | undefined
   /** A complete response that was held back. */
   heldResponse: HeldResponse | undefined
+  private stage: AttemptStage = 'waiting'
   private head: ResponseHead | undefined
   private report: LoadReport | undefined
   private held: Buffer[] = []
-  private heldBytes = 0
+  private bodyBytes = 0
 
-  private constructor (
-    readonly attemptId: number,
-    readonly callId: number,
-    readonly connection: Connection,
-    private readonly request: AttemptRequest,
-    private readonly observer: AttemptObserver,
-    private readonly clock: Clock
-  ) {}
+  private constructor (private readonly options: AttemptRunOptions) {
+    this.attemptId = options.attemptId
+    this.callId = options.callId
+    this.connection = options.connection
+  }
 
-  static create (attemptId: number, callId: number, connection: Connection, request: AttemptRequest, observer: AttemptObserver, clock: Clock): AttemptRun {
-    return new AttemptRun(attemptId, callId, connection, request, observer, clock)
+  static create (options: AttemptRunOptions): AttemptRun {
+    return new AttemptRun(options)
   }
 
   /** Whether the caller has not sent the whole body yet. */
   get isUploading (): boolean {
-    const { body } = this.request
+    const { body } = this.options.request
     return body !== null && 'readableEnded' in body && !body.readableEnded
   }
 
   /** Sends the request. */
   start (): void {
-    const { method, path, headers, body } = this.request
-    try {
-      this.connection.client.dispatch({ method: method as UndiciDispatcher.HttpMethod, path, headers, body }, this)
-    } catch (error) {
-      // Deferred, so that the dispatcher never sees an end while it is still starting the attempt.
-      queueMicrotask(() => this.onError(error as Error))
-    }
+    this.connection.http.send(this.options.request, this)
   }
 
   /** Stops the attempt and closes its connection, on which a late response could otherwise follow. */
   cancel (): void {
     if (this.stage === 'ended') return
     this.neverSent = this.stage === 'waiting'
+    this.connection.http.destroy()
     this.finish({ kind: this.neverSent ? 'notRun' : 'cancelled' })
-    this.abort?.()
   }
 
   /** Continues a paused response. */
   resume (): void {
-    this.resumeReading?.()
+    if (this.stage === 'streaming') this.connection.http.resume()
   }
 
-  onConnect (abort: (error?: Error) => void): void {
-    this.abort = abort
-    // Cancelled before the connection was there: aborting here keeps the request from being written.
-    if (this.stage === 'ended') return abort()
+  onSent (): void {
     this.stage = 'sent'
   }
 
-  onHeaders (status: number, rawHeaders: Buffer[], resume: () => void): boolean {
-    if (status < 200 || this.stage === 'ended') return true
-    this.resumeReading = resume
-    const headers = decodeHeaders(rawHeaders)
-    this.connection.provenAt = this.clock.now()
-    if (findHeader(headers, REQUEST_ID_HEADER) !== this.request.requestId) return this.fail('crossed')
-    this.report = parseLoadReport(findHeader(headers, LOAD_REPORT_HEADER), this.connection.provenAt)
-    this.head = { status, rawHeaders: headers }
-    if (status === 503 && findHeader(headers, NOT_RUN_HEADER) === '1') {
-      this.stage = 'refused'
-      return true
-    }
-    return this.hasFrame(status, headers) ? this.startBody(headers) : this.fail('truncated')
+  onHead (head: ParsedHead): 'take' | 'skip' {
+    const { dialect, request } = this.options
+    const now = this.options.clock.now()
+    const marks = dialect.readResponse(head.status, head.rawHeaders, now)
+    this.connection.provenAt = now
+    this.connection.idleTimeoutMs = marks.idleTimeoutMs
+    if (!isOwn(marks, request.echoedId)) return this.onForeignHead()
+    this.report = marks.report
+    const isFramed = this.hasFrame(head)
+    this.head = { status: head.status, rawHeaders: head.rawHeaders, isFramed }
+    if (marks.notRun) this.stage = 'refused'
+    else if (isFramed || this.mayTakeUnframed()) this.startBody(head.rawHeaders)
+    else this.fail('truncated')
+    return 'take'
   }
 
   onBodySent (): void {
-    this.observer.onProgress(this)
+    this.options.observer.onProgress(this)
   }
 
   onData (chunk: Buffer): boolean {
-    this.observer.onProgress(this)
-    if (this.stage === 'streaming') return this.observer.onChunk(this, chunk)
+    this.options.observer.onProgress(this)
+    this.bodyBytes += chunk.length
+    if (this.stage === 'streaming') return this.options.observer.onChunk(this, chunk)
     if (this.stage !== 'holding') return true
     this.held.push(chunk)
-    this.heldBytes += chunk.length
-    return this.heldBytes <= HELD_RESPONSE_BYTES || this.startStream()
+    return this.bodyBytes <= HELD_RESPONSE_BYTES || this.startStream()
   }
 
   onComplete (): void {
-    this.connection.provenAt = this.clock.now()
+    this.connection.provenAt = this.options.clock.now()
     if (this.stage === 'refused') return this.finish({ kind: 'notRun', report: this.report })
     if (this.stage !== 'holding' && this.stage !== 'streaming') return
     const head = this.head as ResponseHead
     if (this.stage === 'holding') this.heldResponse = { head, body: this.held }
-    this.finish({ kind: 'answered', serverError: head.status >= 500, report: this.report })
+    this.finish({ kind: 'answered', serverError: head.status >= 500, report: this.report, bytes: this.bodyBytes })
   }
 
-  onError (_error: Error): void {
+  onLost (loss: ExchangeLoss): void {
     if (this.stage === 'ended') return
-    this.finish({ kind: this.endOfLostConnection(), report: this.report })
+    this.finish({ kind: this.endOfLoss(loss), report: this.report })
+  }
+
+  /**
+   * A response with another id on a connection with history is a late extra answer to an earlier request: the own
+   * answer still follows. On a new connection nothing else can follow.
+   */
+  private onForeignHead (): 'take' | 'skip' {
+    if (this.connection.http.hasHistory) return 'skip'
+    this.fail('crossed')
+    return 'take'
   }
 
-  private endOfLostConnection (): AttemptEnd['kind'] {
-    if (this.stage === 'waiting' || this.stage === 'refused') return 'notRun'
+  private endOfLoss (loss: ExchangeLoss): AttemptEnd['kind'] {
+    if (loss === 'unsent' || this.stage === 'waiting' || this.stage === 'refused') return 'notRun'
     if (this.stage === 'holding' || this.stage === 'streaming') return 'truncated'
-    return 'crashed'
+    return loss === 'invalid' ? 'failed' : 'crashed'
+  }
+
+  /**
+   * Whether an answer that ends with its connection is of use. A crash cannot be told from such an end, so a request
+   * that may be repeated is sent elsewhere.
+   */
+  private mayTakeUnframed (): boolean {
+    return this.options.dialect.acceptsUnframed && !this.options.request.isRepeatable
   }
 
-  /** False where only the close of the connection would mark the end, which a crash cannot be told from. */
-  private hasFrame (status: number, headers: readonly string[]): boolean {
-    if (this.request.method === 'HEAD' || status === 204 || status === 304) return true
-    return findHeader(headers, 'content-length') !== undefined || findHeader(headers, 'transfer-encoding') !== undefined
+  /** False where only the close of the connection marks the end of the body. */
+  private hasFrame ({ status, rawHeaders }: ParsedHead): boolean {
+    if (this.options.request.method === 'HEAD' || status === 204 || status === 304) return true
+    return findHeader(rawHeaders, 'content-length') !== undefined || findHeader(rawHeaders, 'transfer-encoding') !== undefined
   }
 
-  private startBody (headers: readonly string[]): boolean {
+  private startBody (headers: readonly string[]): void {
     this.stage = 'holding'
     const length = Number(findHeader(headers, 'content-length') ?? 0)
-    if (length > HELD_RESPONSE_BYTES && this.request.method !== 'HEAD') return this.startStream()
-    return true
+    if (length <= HELD_RESPONSE_BYTES || this.options.request.method === 'HEAD') return
+    if (!this.startStream()) this.connection.http.pause()
   }
 
   /** Returns false where reading pauses. */
@@ -172,20 +194,24 @@
     const chunks = this.held
     this.held = []
     this.stage = 'streaming'
-    const decision = this.observer.onStream(this, this.head as ResponseHead, chunks)
+    const decision = this.options.observer.onStream(this, this.head as ResponseHead, chunks)
     if (decision === 'discard') this.cancel()
     return decision === 'flowing'
   }
 
-  private fail (kind: 'crossed' | 'truncated'): false {
+  private fail (kind: 'crossed' | 'truncated'): void {
+    this.connection.http.destroy()
     this.finish({ kind })
-    this.abort?.()
-    return false
   }
 
   private finish (end: AttemptEnd): void {
     this.stage = 'ended'
     this.held = []
-    this.observer.onEnd(this, end)
+    this.options.observer.onEnd(this, end)
   }
 }
+
+/** Refusals come from an upstream that did not take the request in and may not echo its id. */
+function isOwn (marks: ResponseMarks, echoedId: string): boolean {
+  return marks.echoedId === echoedId || (marks.echoedId === undefined && marks.notRun)
+}
--- a/packages/daemon/src/core/callRun.ts
+++ b/packages/daemon/src/core/callRun.ts
@@ -1,7 +1,7 @@
 import type { Readable } from 'node:stream'
 import type { Call, CallResult } from '@cowsliplead/core/types/dispatch.js'
 import type { Milliseconds } from '@cowsliplead/core/types/clock.js'
-import { DEADLINE_HEADER, REQUEST_ID_HEADER, TIMEOUT_HEADER } from '../utils/headers.js'
+import type { Dialect } from '../types/dialect.js'
 import type { ResponseSink } from '../types/responseSink.js'
 import type { AttemptRequest, HeldResponse } from './attemptRun.js'
 
@@ -22,22 +22,22 @@
   /** The attempt whose response is passed on while it arrives. */
   streamingAttemptId: number | undefined
 
-  private constructor (readonly call: Call, private readonly request: CallRequest, readonly sink: ResponseSink) {}
+  private constructor (
+    readonly call: Call,
+    private readonly request: CallRequest,
+    readonly sink: ResponseSink,
+    private readonly dialect: Dialect
+  ) {}
 
-  static create (call: Call, request: CallRequest, sink: ResponseSink): CallRun {
-    return new CallRun(call, request, sink)
+  static create (call: Call, request: CallRequest, sink: ResponseSink, dialect: Dialect): CallRun {
+    return new CallRun(call, request, sink, dialect)
   }
 
-  /** The request as the next attempt sends it; each attempt has its own id, so that late responses are told apart. */
-  nextAttempt (deadlineAt: Milliseconds, now: Milliseconds): AttemptRequest {
-    const requestId = `${this.request.requestId}.${++this.attempts}`
-    const headers = [
-      ...this.request.headers,
-      REQUEST_ID_HEADER, requestId,
-      DEADLINE_HEADER, String(Math.floor(deadlineAt)),
-      TIMEOUT_HEADER, String(Math.max(Math.floor(deadlineAt - now), 0))
-    ]
-    return { method: this.request.method, path: this.request.path, headers, body: this.request.body, requestId }
+  /** The request as the next attempt sends it. */
+  nextAttempt (upstreamId: string, deadlineAt: Milliseconds, now: Milliseconds): AttemptRequest {
+    const { method, path, body, requestId } = this.request
+    const { headers, echoedId } = this.dialect.attemptHeaders({ requestId, attempt: ++this.attempts, upstreamId, deadlineAt, now })
+    return { method, path, headers: [...this.request.headers, ...headers], body, echoedId, isRepeatable: this.call.kind.idempotent }
   }
 
   /** Passes the result on where the response itself has not done so already. */
@@ -49,7 +49,7 @@
     } else if (this.streamingAttemptId !== undefined || result.kind === 'cancelled') {
       this.sink.breakStream()
     } else {
-      this.sink.refuse(result.code, '')
+      this.sink.refuse(result.code, '', { retryAfterMs: 'retryAfterMs' in result ? result.retryAfterMs : undefined })
     }
   }
 }
--- a/packages/daemon/src/core/callerSink.ts
+++ b/packages/daemon/src/core/callerSink.ts
@@ -1,28 +1,33 @@
 import type { ServerResponse } from 'node:http'
 import { RESULT_CODES, type ResultCodeName } from '@cowsliplead/core/types/resultCode.js'
-import { CODE_HEADER, REQUEST_ID_HEADER, responseHeaders } from '../utils/headers.js'
+import type { Dialect } from '../types/dialect.js'
+import { CODE_HEADER, responseHeaders } from '../utils/headers.js'
 import { refusalStatus } from '../utils/refusalStatus.js'
 import { hasBody } from './requestBody.js'
-import type { ResponseHead, ResponseSink, StreamDecision } from '../types/responseSink.js'
+import type { RefusalOptions, ResponseHead, ResponseSink, StreamDecision } from '../types/responseSink.js'
 
 /** Above this size, copying a body costs more than a second write. */
 const JOINED_BODY_BYTES = 8 * 1024
 
+/** What a sink needs beside the response. */
+export interface CallerSinkOptions {
+  readonly requestId: string
+  readonly dialect: Dialect
+  /** Whether the connection is to be closed after this response. */
+  readonly closesConnection: () => boolean
+}
+
 /** Delivers to a caller's connection. */
 export class CallerSink implements ResponseSink {
-  private constructor (
-    private readonly response: ServerResponse,
-    private readonly requestId: string,
-    private readonly isStopping: () => boolean
-  ) {}
+  private constructor (private readonly response: ServerResponse, private readonly options: CallerSinkOptions) {}
 
-  static create (response: ServerResponse, requestId: string, isStopping: () => boolean): CallerSink {
-    return new CallerSink(response, requestId, isStopping)
+  static create (response: ServerResponse, options: CallerSinkOptions): CallerSink {
+    return new CallerSink(response, options)
   }
 
   deliver (head: ResponseHead, body: readonly Buffer[]): void {
     const headers = this.headersFor(head)
-    if (!hasContentLength(headers) && this.mayHaveBody(head.status)) headers.push('content-length', String(totalLength(body)))
+    if (head.isFramed && !hasContentLength(headers) && this.mayHaveBody(head.status)) headers.push('content-length', String(totalLength(body)))
     this.response.writeHead(head.status, headers)
     const whole = body.length === 1 ? body[0] as Buffer : Buffer.concat(body)
     if (whole.length <= JOINED_BODY_BYTES && this.mayHaveBody(head.status)) this.endJoined(whole)
@@ -62,19 +67,21 @@
     this.response.destroy()
   }
 
-  refuse (name: ResultCodeName, detail: string, status = refusalStatus(name)): void {
+  refuse (name: ResultCodeName, detail: string, { status = refusalStatus(name), retryAfterMs }: RefusalOptions = {}): void {
     if (this.response.headersSent) return this.breakStream()
+    const { dialect, requestId, closesConnection } = this.options
     const { number, outcome } = RESULT_CODES[name]
     const body = Buffer.from(JSON.stringify({ code: number, name, outcome, detail }))
     const headers = [
       'content-type', 'application/json',
       'content-length', String(body.length),
       CODE_HEADER, String(number),
-      REQUEST_ID_HEADER, this.requestId
+      ...dialect.callerHeaders(requestId)
     ]
+    if (retryAfterMs !== undefined) headers.push('retry-after', dialect.retryAfter(retryAfterMs))
     // A body that is still arriving cannot be told from the next request.
     const isUploading = hasBody(this.response.req) && !this.response.req.complete
-    if (this.isStopping() || isUploading) headers.push('connection', 'close')
+    if (closesConnection() || isUploading) headers.push('connection', 'close')
     this.response.writeHead(status, headers)
     this.response.end(body)
   }
@@ -84,9 +91,11 @@
   }
 
   private headersFor (head: ResponseHead): string[] {
-    const headers = responseHeaders(head.rawHeaders)
-    headers.push(REQUEST_ID_HEADER, this.requestId)
-    if (this.isStopping()) headers.push('connection', 'close')
+    const { dialect, requestId, closesConnection } = this.options
+    const headers = responseHeaders(head.rawHeaders, dialect.keptFromCallers)
+    headers.push(...dialect.callerHeaders(requestId))
+    if (closesConnection() || !head.isFramed) headers.push('connection', 'close')
+    if (!head.isFramed) this.response.useChunkedEncodingByDefault = false
     return headers
   }
 }
--- a/packages/daemon/src/core/connectionSet.ts
+++ b/packages/daemon/src/core/connectionSet.ts
@@ -1,27 +1,32 @@
-import { Client } from 'undici'
 import type { Clock, Milliseconds } from '@cowsliplead/core/types/clock.js'
+import { HttpConnection } from './upstreams/httpConnection.js'
 
-/** Idle connections are closed after this time; a new one costs about 1 ms. */
+/** Idle time after which a connection is not used again where the upstream grants no time of its own. */
 const IDLE_LIFETIME_MS = 60_000
 
-/** One connection to an upstream; undici reconnects it where it was closed. */
+/** Share of the granted idle time after which a connection is not used again: the upstream may close it at any moment then. */
+const IDLE_SAFE_SHARE = 0.6
+
+/** One connection to an upstream. */
 export interface Connection {
-  readonly client: Client
+  readonly http: HttpConnection
   /** When it last carried a response. */
   provenAt: Milliseconds
-  /** False before connecting and after a close: the next request opens a new connection. */
-  open: boolean
+  /** When it was last put aside. */
+  idleSince: Milliseconds
+  /** Idle time that the upstream grants; undefined where it did not say. */
+  idleTimeoutMs: Milliseconds | undefined
 }
 
 /** Options of a connection set. */
 export interface ConnectionSetOptions {
-  readonly origin: string
+  readonly host: string
+  readonly port: number
   readonly clock: Clock
   readonly limit: number
   /** A connection that carried a response this recently is taken to be alive. */
   readonly provenMs: Milliseconds
   readonly connectTimeoutMs: Milliseconds
-  readonly bodyStallMs: Milliseconds
 }
 
 /** The connections of this VM to one upstream, one request on each at a time. */
@@ -56,6 +61,7 @@
 
   /** A connection for one request, or undefined at the limit. With `proven`, a new one or one proven lately. */
   acquire (proven: boolean): Connection | undefined {
+    this.closeExpired()
     const connection = proven ? this.takeProven() : this.idle.pop()
     const acquired = connection ?? this.open()
     if (acquired !== undefined) this.busy.add(acquired)
@@ -65,7 +71,8 @@
   /** Returns a connection after its request. */
   release (connection: Connection): void {
     if (!this.busy.delete(connection)) return
-    if (this.size >= this.limit) return this.discard(connection)
+    if (this.size >= this.limit || !connection.http.isReusable) return this.discard(connection)
+    connection.idleSince = this.options.clock.now()
     this.idle.push(connection)
   }
 
@@ -76,12 +83,7 @@
 
   /** Closes idle connections without a sign of life since `instant`: a device on the path may have dropped their state. */
   closeUnproven (instant: Milliseconds): void {
-    for (let i = this.idle.length - 1; i >= 0; i--) {
-      const connection = this.idle[i] as Connection
-      if (!connection.open || connection.provenAt >= instant) continue
-      this.idle.splice(i, 1)
-      this.discard(connection)
-    }
+    this.closeWhere(connection => connection.provenAt < instant)
   }
 
   /** Closes idle connections now and those in use once their request has ended. */
@@ -90,11 +92,25 @@
     for (const connection of this.idle.splice(0)) this.discard(connection)
   }
 
+  private closeExpired (): void {
+    const now = this.options.clock.now()
+    this.closeWhere(({ idleSince, idleTimeoutMs }) => now - idleSince > (idleTimeoutMs ?? IDLE_LIFETIME_MS) * IDLE_SAFE_SHARE)
+  }
+
+  private closeWhere (applies: (connection: Connection) => boolean): void {
+    for (let i = this.idle.length - 1; i >= 0; i--) {
+      const connection = this.idle[i] as Connection
+      if (!applies(connection)) continue
+      this.idle.splice(i, 1)
+      this.discard(connection)
+    }
+  }
+
   private takeProven (): Connection | undefined {
     const oldest = this.options.clock.now() - this.provenMs
     for (let i = this.idle.length - 1; i >= 0; i--) {
       const connection = this.idle[i] as Connection
-      if (connection.open && connection.provenAt < oldest) continue
+      if (connection.provenAt < oldest) continue
       this.idle.splice(i, 1)
       return connection
     }
@@ -105,26 +121,19 @@
 
   private open (): Connection | undefined {
     if (this.size >= this.limit) return undefined
-    const { origin, connectTimeoutMs, bodyStallMs } = this.options
-    const client = new Client(origin, {
-      pipelining: 1,
-      keepAliveTimeout: IDLE_LIFETIME_MS,
-      connectTimeout: connectTimeoutMs,
-      bodyTimeout: bodyStallMs,
-      // Deadlines and stalls before the first byte are the dispatcher's.
-      headersTimeout: 0
-    })
-    const connection: Connection = { client, provenAt: 0, open: false }
-    client.on('connect', () => {
-      connection.open = true
-    })
-    client.on('disconnect', () => {
-      connection.open = false
-    })
+    const { host, port, connectTimeoutMs, clock } = this.options
+    const http = HttpConnection.create({ host, port, connectTimeoutMs, onClose: () => this.forget(connection) })
+    const connection: Connection = { http, provenAt: 0, idleSince: clock.now(), idleTimeoutMs: undefined }
     return connection
   }
 
+  /** An idle connection was closed by the upstream. */
+  private forget (connection: Connection): void {
+    const position = this.idle.indexOf(connection)
+    if (position >= 0) this.idle.splice(position, 1)
+  }
+
   private discard (connection: Connection): void {
-    connection.client.destroy().catch(() => {})
+    connection.http.destroy()
   }
 }
--- a/packages/daemon/src/core/daemon.ts
+++ b/packages/daemon/src/core/daemon.ts
@@ -13,6 +13,7 @@
 import { Metrics } from './metrics.js'
 import { OperatorApi } from './operatorApi.js'
 import { PrivateServer } from './privateServer.js'
+import { ProductDialect } from './productDialect.js'
 import { Proxy } from './proxy.js'
 import { Publisher } from './publisher.js'
 import { PublicServer } from './publicServer.js'
@@ -147,8 +148,8 @@
     return Proxy.create({
       clock,
       ids,
-      matcher: () => services.matcher,
-      hostOf: service => services.hostOf(service),
+      dialect: ProductDialect.create(),
+      route: request => services.route(request),
       keyed: keyedHost,
       bodyTimeoutMs: this.settings.limits.requestBodyTimeoutMs,
       isStopping: () => this.isStopping,
--- /dev/null
+++ b/packages/daemon/src/core/gateway/callerServer.ts
@@ -0,0 +1,67 @@
+import { createServer, type Server } from 'node:http'
+import { Server as NetServer, type Socket } from 'node:net'
+import type { CallerLimits } from '@cowsliplead/core/types/routes.js'
+import { splitAddress } from '../../utils/address.js'
+import type { Proxy } from '../proxy.js'
+
+/** Largest head that is read; the configuration bounds what is accepted below it. */
+const LARGEST_HEAD_BYTES = 256 * 1024
+
+/** How often connections are checked against the limits on time. */
+const CHECK_INTERVAL_MS = 500
+
+/** Callers that reuse a connection just as its idle time ends must not meet its close. */
+const IDLE_MARGIN_MS = 1000
+
+/** The port for callers. Node's server is used directly: the framework's routing has nothing to route here. */
+export class CallerServer {
+  private readonly server: Server
+  private readonly sockets = new Set<Socket>()
+
+  private constructor (private readonly proxy: Proxy, private readonly limits: () => CallerLimits | undefined) {
+    const options = { maxHeaderSize: LARGEST_HEAD_BYTES, connectionsCheckingInterval: CHECK_INTERVAL_MS, requestTimeout: 0, noDelay: true }
+    this.server = createServer(options, (request, response) => proxy.handle(request, response))
+    this.server.on('connection', socket => this.track(socket))
+  }
+
+  static create (proxy: Proxy, limits: () => CallerLimits | undefined): CallerServer {
+    return new CallerServer(proxy, limits)
+  }
+
+  async listen (address: string): Promise<void> {
+    const { host, port } = splitAddress(address)
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', reject)
+      this.server.listen({ host, port }, resolve)
+    })
+  }
+
+  /** Takes over limits of a new configuration. */
+  applyLimits (): void {
+    const limits = this.limits()
+    if (limits === undefined) return
+    this.server.headersTimeout = limits.headerTimeoutMs
+    this.server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS
+  }
+
+  /**
+   * Stops listening and closes connections without a request. Node's own `close` cuts connections whose response is
+   * written but not sent yet.
+   */
+  close (): void {
+    NetServer.prototype.close.call(this.server)
+    for (const socket of this.sockets) {
+      if (this.proxy.isIdle(socket)) socket.end()
+    }
+  }
+
+  /** Whether every connection is closed. */
+  get isClosed (): boolean {
+    return this.sockets.size === 0
+  }
+
+  private track (socket: Socket): void {
+    this.sockets.add(socket)
+    socket.once('close', () => this.sockets.delete(socket))
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/core/gateway/controlState.ts
@@ -0,0 +1,158 @@
+import { UpstreamDirectory } from '@cowsliplead/core/core/membership/upstreamDirectory.js'
+import type { Clock, Milliseconds } from '@cowsliplead/core/types/clock.js'
+import type { RouteConfig } from '@cowsliplead/core/types/routes.js'
+import type { UpstreamEntry } from '@cowsliplead/core/types/upstreamEntry.js'
+import type { ControlStore, StoreFailure, TableRecord } from '../../types/controlStore.js'
+import type { Journal } from '../journal.js'
+import type { GatewayServices } from './gatewayServices.js'
+import { TableReader, type TableConsumer } from './tableReader.js'
+
+/** Key of the configuration in its table. */
+const CONFIGURATION_KEY = 'config'
+
+/** Longest wait of a read for a new configuration: a connection that went silent delays a change by no more. */
+const CONFIGURATION_WAIT_MS: Milliseconds = 2000
+
+/** Pause between two reads of upstream entries, which change with every heartbeat. */
+const UPSTREAMS_PAUSE_MS: Milliseconds = 350
+
+/** What the control state is made of. */
+export interface ControlStateOptions {
+  readonly store: ControlStore
+  readonly clock: Clock
+  readonly services: GatewayServices
+  readonly journal: Journal
+  readonly renewalMs: Milliseconds
+  /** Called after a configuration was put in force. */
+  readonly onConfig: () => void
+}
+
+/** What this VM knows of the routes in force and of the upstreams, as read from the control store. */
+export class ControlState {
+  private readonly directory: UpstreamDirectory
+  private readonly configReader: TableReader
+  private readonly upstreamReader: TableReader
+  private hasUpstreams = false
+
+  private constructor (private readonly options: ControlStateOptions) {
+    const { store, clock, renewalMs } = options
+    this.directory = UpstreamDirectory.create({ renewalMs })
+    this.configReader = TableReader.create({
+      store, clock, table: 'configuration', consumer: this.configConsumer(), waitMs: CONFIGURATION_WAIT_MS, pauseMs: 0
+    })
+    this.upstreamReader = TableReader.create({
+      store, clock, table: 'upstreams', consumer: this.upstreamConsumer(), waitMs: 0, pauseMs: UPSTREAMS_PAUSE_MS
+    })
+  }
+
+  static create (options: ControlStateOptions): ControlState {
+    return new ControlState(options)
+  }
+
+  start (): void {
+    this.configReader.start()
+    this.upstreamReader.start()
+  }
+
+  stop (): void {
+    this.configReader.stop()
+    this.upstreamReader.stop()
+  }
+
+  /** What is missing before requests can be served. */
+  missing (): string[] {
+    const missing: string[] = []
+    if (this.options.services.config === undefined) missing.push('no configuration is known')
+    if (!this.hasUpstreams) missing.push('the upstreams are not known')
+    return missing
+  }
+
+  /** The state for the dump. */
+  describe (): Record<string, unknown> {
+    return {
+      configVersion: this.options.services.config?.version,
+      configAgeMs: this.configReader.ageMs,
+      upstreamsAgeMs: this.upstreamReader.ageMs,
+      upstreams: this.directory.list()
+    }
+  }
+
+  private configConsumer (): TableConsumer {
+    const take = (records: readonly TableRecord[]): void => records.forEach(record => this.takeConfig(record))
+    return { ...this.contact('configuration'), onSnapshot: take, onChanges: take }
+  }
+
+  private upstreamConsumer (): TableConsumer {
+    const { clock } = this.options
+    const contact = this.contact('upstreams')
+    return {
+      ...contact,
+      onReturn: () => {
+        contact.onReturn()
+        this.directory.onRegistryReturn(clock.now())
+      },
+      onSnapshot: records => this.takeAllUpstreams(records),
+      onChanges: records => {
+        for (const record of records) this.takeUpstream(record)
+        this.publishUpstreams()
+      }
+    }
+  }
+
+  private contact (table: string): Pick<TableConsumer, 'onReturn' | 'onFailure'> {
+    const { journal } = this.options
+    return {
+      onReturn: () => journal.info('control store answers again', { table }),
+      onFailure: (failure: StoreFailure) => journal.warn('control store failed', { table, failure })
+    }
+  }
+
+  private takeConfig (record: TableRecord): void {
+    if (record.key !== CONFIGURATION_KEY) return
+    const { store, services, journal } = this.options
+    const config = store.decodeRoutes(record)
+    if (config === undefined) return void journal.warn('configuration cannot be read', { bytes: record.value?.length })
+    const inForce = services.config?.version
+    // Reads may bring an older version back, for instance from a snapshot that overtook a change.
+    if (inForce !== undefined && config.version <= inForce) return
+    this.applyConfig(config, inForce)
+  }
+
+  private applyConfig (config: RouteConfig, previous: number | undefined): void {
+    const { services, journal, onConfig } = this.options
+    services.setConfig(config)
+    services.setUpstreams(this.directory.list())
+    onConfig()
+    journal.info('configuration in force', { version: config.version, previous, routes: config.routes.length, services: config.services.size })
+  }
+
+  private takeAllUpstreams (records: readonly TableRecord[]): void {
+    const { store, clock, journal } = this.options
+    const entries: UpstreamEntry[] = []
+    for (const record of records) {
+      const entry = store.decodeUpstream(record)
+      if (entry !== undefined) entries.push(entry)
+      else journal.warn('upstream entry cannot be used', { key: record.key })
+    }
+    const removed = this.directory.replaceAll(entries, clock.now())
+    this.hasUpstreams = true
+    journal.info('upstreams read', { count: entries.length, removed })
+    this.publishUpstreams()
+  }
+
+  private takeUpstream (record: TableRecord): void {
+    const { store, clock, journal } = this.options
+    const now = clock.now()
+    const entry = record.value === undefined ? undefined : store.decodeUpstream(record)
+    const change = entry === undefined ? this.directory.remove(record.key, now) : this.directory.put(entry, now)
+    if (change === 'updated' || change === 'ignored') return
+    journal.info('upstream changed', { upstream: record.key, change, service: entry?.service, incarnation: entry?.incarnation })
+  }
+
+  private publishUpstreams (): void {
+    const { clock, services, journal } = this.options
+    const lapsed = this.directory.expire(clock.now())
+    if (lapsed.length > 0) journal.info('upstreams did not renew their entries', { upstreams: lapsed })
+    services.setUpstreams(this.directory.list())
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/core/gateway/gateway.ts
@@ -0,0 +1,134 @@
+import { SeededRandom } from '@cowsliplead/core/types/randomSource.js'
+import { DEFAULT_ROUTING_POLICY, type RoutingPolicy } from '@cowsliplead/core/types/routingPolicy.js'
+import type { ControlStore } from '../../types/controlStore.js'
+import type { Dialect } from '../../types/dialect.js'
+import type { GatewaySettings } from '../../types/gatewaySettings.js'
+import { sleep } from '../../utils/sleep.js'
+import type { Journal } from '../journal.js'
+import { Proxy } from '../proxy.js'
+import { RequestIds } from '../requestIds.js'
+import { TickTimer } from '../tickTimer.js'
+import { CallerServer } from './callerServer.js'
+import { ControlState } from './controlState.js'
+import { GatewayServices } from './gatewayServices.js'
+import { MonotonicClock } from './monotonicClock.js'
+import { ReadinessServer } from './readinessServer.js'
+
+/** Short against the shortest stall interval. */
+const TOUCH_INTERVAL_MS = 20
+
+const CONNECT_TIMEOUT_MS = 500
+
+/** Longest time for a request body, and longest pause within a streamed one. */
+const BODY_TIMEOUT_MS = 30_000
+
+/** Part of the grace period in which a stopping daemon accepts connections, until the balancer has noticed. */
+const ACCEPT_SHARE = 0.55
+/** Part of the grace period after which a stopping daemon ends even with requests in flight. */
+const EXIT_SHARE = 0.97
+const DRAIN_POLL_MS = 20
+/** Time for the last responses to leave after they were written. */
+const CLOSE_TIMEOUT_MS = 150
+
+/** What the daemon is connected to. */
+export interface GatewayPeripherals {
+  readonly store: ControlStore
+  readonly dialect: Dialect
+  readonly journal: Journal
+}
+
+/** One entry VM's daemon: takes requests of callers to upstreams. */
+export class Gateway {
+  private readonly clock = MonotonicClock.create()
+  private readonly tickTimer = TickTimer.create(this.clock)
+  private readonly services: GatewayServices
+  private readonly control: ControlState
+  private readonly proxy: Proxy
+  private readonly callerServer: CallerServer
+  private readonly readinessServer: ReadinessServer
+  private isStopping = false
+  private touchTimer: NodeJS.Timeout | undefined
+
+  private constructor (private readonly settings: GatewaySettings, private readonly peripherals: GatewayPeripherals) {
+    const { clock, tickTimer } = this
+    const { store, dialect, journal } = peripherals
+    const { failureDomain, renewalMs } = settings
+    this.services = GatewayServices.create({
+      clock,
+      random: SeededRandom.create(process.pid ^ Date.now()),
+      tickTimer,
+      dialect,
+      limits: { connectTimeoutMs: CONNECT_TIMEOUT_MS },
+      failureDomain,
+      policy: this.createPolicy()
+    })
+    this.control = ControlState.create({
+      store, clock, services: this.services, journal, renewalMs, onConfig: () => this.callerServer.applyLimits()
+    })
+    this.proxy = this.createProxy()
+    this.callerServer = CallerServer.create(this.proxy, () => this.services.config?.limits)
+    this.readinessServer = ReadinessServer.create(settings.readinessPath, () => this.unreadyReasons())
+  }
+
+  static create (settings: GatewaySettings, peripherals: GatewayPeripherals): Gateway {
+    return new Gateway(settings, peripherals)
+  }
+
+  /** Starts to read the control store and to serve. */
+  async start (): Promise<void> {
+    const { services, settings, peripherals: { journal } } = this
+    this.touchTimer = setInterval(() => services.touchWaiting(), TOUCH_INTERVAL_MS)
+    this.control.start()
+    await this.callerServer.listen(settings.publicAddress)
+    await this.readinessServer.listen(settings.readinessAddress)
+    journal.info('started', { vm: settings.vmId, failureDomain: settings.failureDomain })
+  }
+
+  /** Stops without interrupting a request; returns the number of requests that outlasted the grace period. */
+  async stop (): Promise<number> {
+    const { graceMs } = this.settings
+    const startedAt = this.clock.now()
+    this.isStopping = true
+    this.peripherals.journal.info('stopping', { inFlight: this.proxy.inFlight })
+    await sleep(graceMs * ACCEPT_SHARE)
+    this.callerServer.close()
+    while (this.proxy.inFlight > 0 && this.clock.now() < startedAt + graceMs * EXIT_SHARE) await sleep(DRAIN_POLL_MS)
+    const interrupted = this.proxy.inFlight
+    this.callerServer.close()
+    const closedBy = this.clock.now() + CLOSE_TIMEOUT_MS
+    while (!this.callerServer.isClosed && this.clock.now() < closedBy) await sleep(DRAIN_POLL_MS)
+    this.peripherals.journal.info('stopped', { interrupted })
+    this.release()
+    return interrupted
+  }
+
+  private release (): void {
+    clearInterval(this.touchTimer)
+    this.control.stop()
+    this.peripherals.store.close()
+    this.readinessServer.close()
+    this.services.close()
+    this.tickTimer.stop()
+  }
+
+  private unreadyReasons (): readonly string[] {
+    return this.isStopping ? ['stopping'] : this.control.missing()
+  }
+
+  private createProxy (): Proxy {
+    return Proxy.create({
+      clock: this.clock,
+      ids: RequestIds.create(this.settings.vmId),
+      dialect: this.peripherals.dialect,
+      route: request => this.services.route(request),
+      bodyTimeoutMs: BODY_TIMEOUT_MS,
+      maxBodyBytes: () => this.services.config?.limits.maxBodyBytes ?? Infinity,
+      isStopping: () => this.isStopping,
+      onError: error => this.peripherals.journal.error('a request failed inside the daemon', { error: error.stack })
+    })
+  }
+
+  private createPolicy (): RoutingPolicy {
+    return { ...DEFAULT_ROUTING_POLICY, ...this.settings.routing }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/core/gateway/gatewayServices.ts
@@ -0,0 +1,141 @@
+import type { IncomingMessage } from 'node:http'
+import { Dispatcher } from '@cowsliplead/core/core/dispatcher.js'
+import { ExpectedDelayPicker } from '@cowsliplead/core/core/expectedDelayPicker.js'
+import { RouteTable } from '@cowsliplead/core/core/routing/routeTable.js'
+import { requestKindOf } from '@cowsliplead/core/core/routing/requestKinds.js'
+import type { Clock } from '@cowsliplead/core/types/clock.js'
+import type { RandomSource } from '@cowsliplead/core/types/randomSource.js'
+import type { RequestKind } from '@cowsliplead/core/types/requestKind.js'
+import type { ResultCodeName } from '@cowsliplead/core/types/resultCode.js'
+import { NO_POLICY_EXCEPTIONS, type RoutingPolicy } from '@cowsliplead/core/types/routingPolicy.js'
+import type { Route, RouteConfig, ServiceTarget } from '@cowsliplead/core/types/routes.js'
+import type { Upstream } from '@cowsliplead/core/types/upstream.js'
+import type { Dialect } from '../../types/dialect.js'
+import type { RequestTarget } from '../proxy.js'
+import { ServiceHost } from '../serviceHost.js'
+import type { TickTimer } from '../tickTimer.js'
+import { UpstreamConnections, type ConnectionLimits } from '../upstreamConnections.js'
+
+/** What the services are made of. */
+export interface GatewayServicesOptions {
+  readonly clock: Clock
+  readonly random: RandomSource
+  readonly tickTimer: TickTimer
+  readonly dialect: Dialect
+  readonly limits: ConnectionLimits
+  readonly failureDomain: string
+  readonly policy: RoutingPolicy
+}
+
+/** The service hosts of the routes in force. */
+export class GatewayServices {
+  private table: RouteTable | undefined
+  private readonly kinds = new Map<Route, RequestKind>()
+  private readonly hosts = new Map<string, ServiceHost>()
+  private upstreams: readonly Upstream[] = []
+  private entryRank = 0
+  private entryCount = 1
+  /** Hosts of services that no configuration names any more, until their last call ends. */
+  private retired: ServiceHost[] = []
+
+  private constructor (private readonly options: GatewayServicesOptions, private policy: RoutingPolicy) {}
+
+  static create (options: GatewayServicesOptions): GatewayServices {
+    return new GatewayServices(options, options.policy)
+  }
+
+  get config (): RouteConfig | undefined {
+    return this.table?.config
+  }
+
+  all (): ServiceHost[] {
+    return [...this.hosts.values()]
+  }
+
+  /** Puts a configuration in force. */
+  setConfig (config: RouteConfig): void {
+    this.table = RouteTable.create(config, this.table)
+    this.kinds.clear()
+    for (const route of config.routes) this.kinds.set(route, requestKindOf(route))
+    for (const service of this.hosts.keys()) {
+      if (!config.services.has(service)) this.retire(service)
+    }
+    for (const target of config.services.values()) this.putHost(target)
+  }
+
+  /** Takes the registered upstreams of all services. */
+  setUpstreams (upstreams: readonly Upstream[]): void {
+    this.upstreams = upstreams
+    for (const host of this.hosts.values()) this.updateUpstreams(host)
+    this.closeRetired()
+  }
+
+  /** Takes this VM's place among the live entry VMs, and numbers that depend on it. */
+  setShare (rank: number, count: number, policy: RoutingPolicy): void {
+    this.entryRank = rank
+    this.entryCount = count
+    this.policy = policy
+    for (const target of this.config?.services.values() ?? []) this.putHost(target)
+  }
+
+  /** Where a caller's request goes, or why it goes nowhere. */
+  route (request: IncomingMessage): RequestTarget | ResultCodeName {
+    if (this.table === undefined) return 'notReady'
+    const match = this.table.match(request.headers.host ?? '', request.url as string)
+    if (match === undefined) return 'noService'
+    const host = this.hosts.get(match.service)
+    if (host === undefined) return 'noUpstream'
+    return { host, service: match.service, kind: this.kinds.get(match.route) as RequestKind }
+  }
+
+  /** Keeps attempts that wait for slow callers from being taken for stalled ones. */
+  touchWaiting (): void {
+    for (const host of this.hosts.values()) host.touchWaiting()
+    for (const host of this.retired) host.touchWaiting()
+  }
+
+  close (): void {
+    for (const host of [...this.hosts.values(), ...this.retired]) host.close()
+  }
+
+  private putHost (target: ServiceTarget): void {
+    const host = this.hosts.get(target.name) ?? this.createHost(target)
+    this.hosts.set(target.name, host)
+    host.setPolicy({ ...this.policy, connectionsPerUpstream: target.maxConnections }, NO_POLICY_EXCEPTIONS)
+    host.setHealthPath(target.healthPath)
+    this.updateUpstreams(host)
+  }
+
+  private createHost ({ name }: ServiceTarget): ServiceHost {
+    const { clock, random, tickTimer, dialect, limits, failureDomain } = this.options
+    const { policy } = this
+    return ServiceHost.create({
+      service: name,
+      clock,
+      tickTimer,
+      dialect,
+      connections: UpstreamConnections.create(clock, limits),
+      onSuspects: () => {},
+      createDispatcher: port => Dispatcher.create({
+        service: name, clock, random, port, picker: ExpectedDelayPicker.create(policy), policy, failureDomain
+      })
+    })
+  }
+
+  private updateUpstreams (host: ServiceHost): void {
+    const own = this.upstreams.filter(({ service }) => service === host.service)
+    host.setUpstreams(own, this.entryRank, this.entryCount)
+  }
+
+  private retire (service: string): void {
+    const host = this.hosts.get(service)
+    this.hosts.delete(service)
+    if (host !== undefined) this.retired.push(host)
+  }
+
+  private closeRetired (): void {
+    const done = this.retired.filter(host => host.callsInFlight === 0)
+    for (const host of done) host.close()
+    this.retired = this.retired.filter(host => !done.includes(host))
+  }
+}
--- a/packages/daemon/src/core/keyedHost.ts
+++ b/packages/daemon/src/core/keyedHost.ts
@@ -15,6 +15,7 @@
 import { responseHeaders } from '../utils/headers.js'
 import { decodeResult, encodeHandover, groupHeaders, listHeaders } from '../utils/peerCodec.js'
 import { CallRun } from './callRun.js'
+import { ProductDialect } from './productDialect.js'
 import { CaptureSink, type Captured } from './captureSink.js'
 import type { PeerCaller } from './peerClients.js'
 import type { RequestIds } from './requestIds.js'
@@ -25,6 +26,8 @@
 const COLLECT_TIMEOUT_MS = 2000
 const HANDOVER_TIMEOUT_MS = 5000
 
+const DIALECT = ProductDialect.create()
+
 /** Time beyond the deadline for the owner's answer to travel back. */
 const FORWARD_GRACE_MS = 200
 
@@ -145,7 +148,7 @@
     if (request === undefined || host === undefined) return end({ kind: 'notRun', code: 'noUpstream' })
     const call = { ...request.call, id: this.options.ids.nextCallId(), deadlineAt: attempt.deadlineAt }
     const sink = CaptureSink.create(captured => end(toKeyedEnd(captured)))
-    host.submit(CallRun.create(call, request.request, sink))
+    host.submit(CallRun.create(call, request.request, sink, DIALECT))
   }
 
   answer (callId: number, result: KeyedResult): void {
@@ -213,15 +216,15 @@
     return { kind: RESULT_CODES[captured.code].outcome === 'notRun' ? 'notRun' : 'outcomeUnknown', code: captured.code }
   }
   const { head, body } = captured
-  return { kind: 'response', response: { status: head.status, headers: groupHeaders(responseHeaders(head.rawHeaders)), body } }
+  return { kind: 'response', response: { status: head.status, headers: groupHeaders(responseHeaders(head.rawHeaders, DIALECT.keptFromCallers)), body } }
 }
 
 function deliver (sink: ResponseSink, result: KeyedResult): void {
   if (result.kind === 'response') {
     const { status, headers, body } = result.response
-    sink.deliver({ status, rawHeaders: listHeaders(headers) }, [Buffer.from(body.buffer, body.byteOffset, body.byteLength)])
+    sink.deliver({ status, rawHeaders: listHeaders(headers), isFramed: true }, [Buffer.from(body.buffer, body.byteOffset, body.byteLength)])
   } else if (result.kind === 'alreadyRan') {
-    sink.refuse('alreadyRan', `the response had status ${result.status}`, result.status)
+    sink.refuse('alreadyRan', `the response had status ${result.status}`, { status: result.status })
   } else {
     sink.refuse(result.kind === 'notOwner' ? 'ownerUnreachable' : result.code, '')
   }
--- a/packages/daemon/src/core/proxy.ts
+++ b/packages/daemon/src/core/proxy.ts
@@ -1,14 +1,16 @@
 import { hash } from 'node:crypto'
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import type { RequestMatcher } from '@cowsliplead/core/core/requestMatcher.js'
+import type { Socket } from 'node:net'
 import type { Clock, Milliseconds } from '@cowsliplead/core/types/clock.js'
 import type { Call } from '@cowsliplead/core/types/dispatch.js'
 import type { RequestKind } from '@cowsliplead/core/types/requestKind.js'
 import type { ResultCodeName } from '@cowsliplead/core/types/resultCode.js'
-import { DEADLINE_HEADER, IDEMPOTENCY_KEY_HEADER, REQUEST_ID_HEADER, requestHeaders, TIMEOUT_HEADER } from '../utils/headers.js'
+import type { Dialect } from '../types/dialect.js'
+import { IDEMPOTENCY_KEY_HEADER, requestHeaders } from '../utils/headers.js'
 import { CallerSink } from './callerSink.js'
 import { CallRun } from './callRun.js'
 import type { KeyedRequest, KeyedRunner } from '../types/keyedRunner.js'
+import { PipelineCounter } from './pipelineCounter.js'
 import { readBody, type RequestBody } from './requestBody.js'
 import type { RequestIds } from './requestIds.js'
 import type { ServiceHost } from './serviceHost.js'
@@ -17,16 +19,26 @@
 
 const KEYED_METHODS = new Set(['POST', 'PUT', 'PATCH', 'DELETE'])
 
+/** The service that a request goes to and how it is treated. */
+export interface RequestTarget {
+  readonly host: ServiceHost
+  readonly service: string
+  readonly kind: RequestKind
+}
+
 /** What the proxy is made of. */
 export interface ProxyOptions {
   readonly clock: Clock
   readonly ids: RequestIds
-  /** Undefined until a configuration is in force. */
-  readonly matcher: () => RequestMatcher | undefined
-  readonly hostOf: (service: string) => ServiceHost | undefined
-  readonly keyed: KeyedRunner
+  readonly dialect: Dialect
+  /** Where a request goes, or why it goes nowhere. */
+  readonly route: (request: IncomingMessage) => RequestTarget | ResultCodeName
+  /** Runs calls with an idempotency key; undefined where callers have no such keys. */
+  readonly keyed?: KeyedRunner
   /** Longest time to receive a held body, and longest pause within a streamed one. */
   readonly bodyTimeoutMs: Milliseconds
+  /** Longest body that is accepted. */
+  readonly maxBodyBytes?: () => number
   /** Whether callers are to open a new connection for their next request. */
   readonly isStopping: () => boolean
   readonly onError: (error: Error) => void
@@ -37,17 +49,17 @@
   readonly request: IncomingMessage
   readonly response: ServerResponse
   readonly sink: CallerSink
-  readonly service: string
-  readonly host: ServiceHost
-  readonly kind: RequestKind
+  readonly target: RequestTarget
   readonly requestId: string
   readonly arrivedAt: Milliseconds
+  readonly deadlineAt: Milliseconds
 }
 
 /** Takes callers' requests to the dispatcher of their service. */
 export class Proxy {
   /** Requests whose response has not been sent completely. */
   inFlight = 0
+  private readonly pipelines = PipelineCounter.create()
 
   private constructor (private readonly options: ProxyOptions) {}
 
@@ -55,31 +67,45 @@
     return new Proxy(options)
   }
 
+  /** Whether no request on this connection waits for its response. */
+  isIdle (socket: Socket): boolean {
+    return this.pipelines.isEmpty(socket)
+  }
+
   /** Handles one request of a caller. */
   handle (request: IncomingMessage, response: ServerResponse): void {
-    const arrivedAt = this.options.clock.now()
+    const { clock, dialect, ids, route } = this.options
+    const arrivedAt = clock.now()
     this.inFlight++
+    this.pipelines.enter(request.socket)
     response.once('close', () => {
       this.inFlight--
+      this.pipelines.leave(request.socket)
     })
-    const callerId = request.headers[REQUEST_ID_HEADER] as string | undefined
-    const requestId = this.options.ids.next(callerId)
-    const sink = CallerSink.create(response, callerId ?? requestId, this.options.isStopping)
-    const matcher = this.options.matcher()
-    if (matcher === undefined) return refuseUnsent(request, sink, 'notReady')
-    const match = matcher.match(request.headers.host ?? '', request.url as string, request.method as string)
-    if (match === undefined) return refuseUnsent(request, sink, 'noService')
-    if (match.kind === undefined) return refuseUnsent(request, sink, 'noKind')
-    const host = this.options.hostOf(match.service)
-    if (host === undefined) return refuseUnsent(request, sink, 'noUpstream')
-    const arrival = { request, response, sink, service: match.service, host, kind: match.kind, requestId, arrivedAt }
+    const callerId = dialect.callerRequestId(request.headers)
+    const requestId = dialect.forwardsCallerIds && callerId !== undefined ? callerId : ids.next(callerId)
+    const sink = this.createSink(request, response, callerId ?? requestId)
+    const target = route(request)
+    if (typeof target === 'string') return this.refuse(request, sink, target)
+    const timeLeftMs = dialect.timeLeftMs(request.headers, arrivedAt) ?? Infinity
+    const deadlineAt = arrivedAt + Math.min(timeLeftMs, target.kind.deadlineMs)
+    const arrival = { request, response, sink, target, requestId, arrivedAt, deadlineAt }
     readBody(request, {
-      timeoutMs: this.options.bodyTimeoutMs,
+      timeoutMs: Math.min(this.options.bodyTimeoutMs, Math.max(deadlineAt - arrivedAt, 0)),
+      maxBytes: this.options.maxBodyBytes?.() ?? Infinity,
       onBody: body => this.trySubmit(arrival, body),
-      onTimeout: () => refuseUnsent(request, sink, 'bodyTimeout')
+      onTimeout: () => this.refuse(request, sink, 'bodyTimeout'),
+      onTooLarge: () => this.refuse(request, sink, 'bodyTooLarge')
     })
   }
 
+  private createSink (request: IncomingMessage, response: ServerResponse, requestId: string): CallerSink {
+    const { dialect, isStopping } = this.options
+    // Closing behind an earlier response would cut the requests that the caller sent after it.
+    const closesConnection = (): boolean => isStopping() && this.pipelines.isLast(request.socket)
+    return CallerSink.create(response, { requestId, dialect, closesConnection })
+  }
+
   /** A fault met by one call must not end the process and with it all others. */
   private trySubmit (arrival: Arrival, body: RequestBody): void {
     try {
@@ -91,30 +117,31 @@
   }
 
   private submit (arrival: Arrival, body: RequestBody): void {
-    const { request, sink, kind, requestId } = arrival
-    const key = kind.idempotent ? undefined : request.headers[IDEMPOTENCY_KEY_HEADER]
+    const { request, target: { host, kind, service }, requestId, sink } = arrival
+    const { dialect, keyed } = this.options
+    const key = keyed === undefined || kind.idempotent ? undefined : request.headers[IDEMPOTENCY_KEY_HEADER]
     const callRequest = {
       method: request.method as string,
       path: request.url as string,
-      headers: requestHeaders(request.rawHeaders, request.headers.connection),
+      headers: requestHeaders(request.rawHeaders, request.headers.connection, dialect.keptFromUpstreams),
       body,
       requestId
     }
     const call = this.createCall(arrival, body)
-    if (typeof key === 'string') return this.submitKeyed(arrival, { key, call, request: callRequest, service: arrival.service })
-    const run = CallRun.create(call, callRequest, sink)
-    this.cancelOnClose(arrival, () => arrival.host.cancel(call.id))
-    arrival.host.submit(run)
+    if (typeof key === 'string') return this.submitKeyed(arrival, { key, call, request: callRequest, service })
+    const run = CallRun.create(call, callRequest, sink, dialect)
+    this.cancelOnClose(arrival, () => host.cancel(call.id))
+    host.submit(run)
   }
 
   private submitKeyed (arrival: Arrival, keyed: KeyedRequest): void {
     const { body } = keyed.request
     if (body !== null && !Buffer.isBuffer(body)) {
       body.destroy()
-      return refuseKeyed(arrival.sink, 'bodyTooLarge')
+      return arrival.sink.refuse('keyOutcomeUnknown', 'bodyTooLarge')
     }
     // A keyed call goes on when its caller leaves: the caller's repeat finds the result.
-    this.options.keyed.run(keyed, arrival.sink)
+    this.options.keyed?.run(keyed, arrival.sink)
   }
 
   private cancelOnClose (arrival: Arrival, cancel: () => void): void {
@@ -124,41 +151,25 @@
   }
 
   private createCall (arrival: Arrival, body: RequestBody): Call {
-    const { request, kind, arrivedAt } = arrival
+    const { request, target: { kind }, arrivedAt, deadlineAt } = arrival
     return {
       id: this.options.ids.nextCallId(),
       kind,
       arrivedAt,
-      deadlineAt: deadlineOf(request, kind, arrivedAt),
+      deadlineAt,
+      targetAt: kind.targetMs === undefined ? undefined : arrivedAt + kind.targetMs,
       fingerprint: fingerprintOf(request, body),
       replayable: body === null || Buffer.isBuffer(body)
     }
   }
-}
-
-/** Refuses a request that no service host got. */
-function refuseUnsent (request: IncomingMessage, sink: CallerSink, name: ResultCodeName): void {
-  const hasKey = request.headers[IDEMPOTENCY_KEY_HEADER] !== undefined
-  if (hasKey && KEYED_METHODS.has(request.method as string)) return refuseKeyed(sink, name)
-  sink.refuse(name, '')
-}
 
-/** Only the owner of the key knows whether an earlier call with it ran, so this VM must not answer "not run". */
-function refuseKeyed (sink: CallerSink, name: ResultCodeName): void {
-  sink.refuse('keyOutcomeUnknown', name)
-}
-
-/** The kind's deadline, or the caller's own where that is earlier. */
-function deadlineOf (request: IncomingMessage, kind: RequestKind, arrivedAt: Milliseconds): Milliseconds {
-  const latest = arrivedAt + kind.deadlineMs
-  const absolute = numberIn(request.headers[DEADLINE_HEADER])
-  const relative = numberIn(request.headers[TIMEOUT_HEADER])
-  return Math.min(latest, absolute ?? Infinity, relative === undefined ? Infinity : arrivedAt + relative)
-}
-
-function numberIn (header: string | string[] | undefined): number | undefined {
-  if (typeof header !== 'string' || !/^\d{1,15}$/.test(header)) return undefined
-  return Number(header)
+  /** Refuses a request that no service host got. */
+  private refuse (request: IncomingMessage, sink: CallerSink, name: ResultCodeName): void {
+    const hasKey = this.options.keyed !== undefined && request.headers[IDEMPOTENCY_KEY_HEADER] !== undefined
+    // Only the owner of the key knows whether an earlier call with it ran, so this VM must not answer "not run".
+    if (hasKey && KEYED_METHODS.has(request.method as string)) return sink.refuse('keyOutcomeUnknown', name)
+    sink.refuse(name, '')
+  }
 }
 
 function fingerprintOf (request: IncomingMessage, body: RequestBody): string {
--- a/packages/daemon/src/core/requestBody.ts
+++ b/packages/daemon/src/core/requestBody.ts
@@ -15,15 +15,19 @@
 export interface BodyReader {
   /** Longest time to receive a held body, and longest pause within a streamed one. */
   readonly timeoutMs: Milliseconds
+  /** Longest body that is accepted. */
+  readonly maxBytes: number
   onBody (body: RequestBody): void
   /** The held body did not arrive in time. */
   onTimeout (): void
+  onTooLarge (): void
 }
 
 /** Reads a short body whole, or turns a long one into a stream; `reader` is not called when the caller leaves first. */
 export function readBody (request: IncomingMessage, reader: BodyReader): void {
   if (!hasBody(request)) return reader.onBody(null)
   const length = request.headers['content-length']
+  if (length !== undefined && Number(length) > reader.maxBytes) return reader.onTooLarge()
   if (length !== undefined && Number(length) > HELD_REQUEST_BYTES) return reader.onBody(toStream(request, [], reader.timeoutMs))
   holdBody(request, reader)
 }
@@ -39,6 +43,10 @@
   const onData = (chunk: Buffer): void => {
     chunks.push(chunk)
     size += chunk.length
+    if (size > reader.maxBytes) {
+      stop()
+      return reader.onTooLarge()
+    }
     if (size <= HELD_REQUEST_BYTES) return
     stop()
     reader.onBody(toStream(request, chunks, reader.timeoutMs))
@@ -62,7 +70,7 @@
   request.on('close', stop)
 }
 
-/** A stream of its own: undici destroys the body of a failed request, which must not close the caller's connection. */
+/** A stream of its own: a failed attempt must not close the caller's connection. */
 function toStream (request: IncomingMessage, chunks: readonly Buffer[], timeoutMs: Milliseconds): Readable {
   const stream = new PassThrough({ highWaterMark: STREAM_BUFFER_BYTES })
   stream.on('error', () => {})
--- a/packages/daemon/src/core/serviceHost.ts
+++ b/packages/daemon/src/core/serviceHost.ts
@@ -5,10 +5,12 @@
 import type { Upstream } from '@cowsliplead/core/types/upstream.js'
 import type { Dispatcher } from '@cowsliplead/core/core/dispatcher.js'
 import type { ResponseHead, StreamDecision } from '../types/responseSink.js'
+import type { Dialect } from '../types/dialect.js'
 import { AttemptRun, type AttemptObserver } from './attemptRun.js'
 import type { CallRun } from './callRun.js'
 import { UpstreamConnections } from './upstreamConnections.js'
 import type { ConnectionSet } from './connectionSet.js'
+import { UpstreamProbe } from './upstreams/upstreamProbe.js'
 import { ServiceCounters } from './serviceCounters.js'
 import type { TickTimer } from './tickTimer.js'
 
@@ -18,6 +20,7 @@
   readonly clock: Clock
   readonly tickTimer: TickTimer
   readonly connections: UpstreamConnections
+  readonly dialect: Dialect
   readonly createDispatcher: (port: DispatchPort) => Dispatcher
   /** Called when a request is marked as suspect. */
   readonly onSuspects: () => void
@@ -35,6 +38,7 @@
   readonly service: string
   readonly dispatcher: Dispatcher
   readonly counters = ServiceCounters.create()
+  private healthPath = '/'
   /** The attempt whose end the dispatcher is dealing with; a call is delivered from it. */
   private endingAttempt: AttemptRun | undefined
   private readonly calls = new Map<number, CallRun>()
@@ -129,7 +133,9 @@
       return this.endUnstarted(attempt.id)
     }
     const now = this.clock.now()
-    const run = AttemptRun.create(attempt.id, attempt.callId, connection, call.nextAttempt(attempt.deadlineAt, now), this, this.clock)
+    const { clock, options: { dialect } } = this
+    const request = call.nextAttempt(attempt.upstreamId, attempt.deadlineAt, now)
+    const run = AttemptRun.create({ attemptId: attempt.id, callId: attempt.callId, connection, request, observer: this, clock, dialect })
     this.attempts.set(attempt.id, { run, connections, startedAt: now })
     if (run.isUploading) this.uploading.add(run)
     run.start()
@@ -172,6 +178,24 @@
     return flowing
   }
 
+  /** Sets the path of the load probe. */
+  setHealthPath (path: string): void {
+    this.healthPath = path
+  }
+
+  sendProbe (upstreamId: string): void {
+    const { clock, options: { dialect }, healthPath } = this
+    const connections = this.connections.of(upstreamId)
+    const connection = connections?.acquire(false)
+    if (connections === undefined || connection === undefined) return
+    UpstreamProbe.send({ connection, path: healthPath, upstreamId, dialect, clock }, end => {
+      connections.release(connection)
+      if (end.kind === 'report') this.dispatcher.onProbeReport(upstreamId, end.report)
+      else this.dispatcher.onProbeLost(upstreamId)
+      this.afterEvent()
+    })
+  }
+
   /** Keeps attempts that wait for a slow caller from being taken for stalled ones. */
   touchWaiting (): void {
     for (const run of this.paused) this.onProgress(run)
--- a/packages/daemon/src/core/services.ts
+++ b/packages/daemon/src/core/services.ts
@@ -1,13 +1,17 @@
+import type { IncomingMessage } from 'node:http'
 import { findPolicy, findPolicyExceptions } from '@cowsliplead/core/core/effectiveSettings.js'
 import { Dispatcher } from '@cowsliplead/core/core/dispatcher.js'
 import { ExpectedDelayPicker } from '@cowsliplead/core/core/expectedDelayPicker.js'
 import { RequestMatcher } from '@cowsliplead/core/core/requestMatcher.js'
 import type { Clock } from '@cowsliplead/core/types/clock.js'
 import type { ConfigDocument } from '@cowsliplead/core/types/configDocument.js'
+import type { ResultCodeName } from '@cowsliplead/core/types/resultCode.js'
 import type { RandomSource } from '@cowsliplead/core/types/randomSource.js'
 import type { PolicyExceptions, RoutingPolicy } from '@cowsliplead/core/types/routingPolicy.js'
+import type { RequestTarget } from './proxy.js'
 import type { Limits } from '../types/settings.js'
 import type { Fleet } from './fleet.js'
+import { ProductDialect } from './productDialect.js'
 import { ServiceHost } from './serviceHost.js'
 import type { TickTimer } from './tickTimer.js'
 import { UpstreamConnections } from './upstreamConnections.js'
@@ -55,6 +59,16 @@
     return this.hosts.get(service)
   }
 
+  /** Where a caller's request goes, or why it goes nowhere. */
+  route (request: IncomingMessage): RequestTarget | ResultCodeName {
+    if (this.matcher === undefined) return 'notReady'
+    const match = this.matcher.match(request.headers.host ?? '', request.url as string, request.method as string)
+    if (match === undefined) return 'noService'
+    if (match.kind === undefined) return 'noKind'
+    const host = this.hosts.get(match.service)
+    return host === undefined ? 'noUpstream' : { host, service: match.service, kind: match.kind }
+  }
+
   all (): ServiceHost[] {
     return [...this.hosts.values()]
   }
@@ -107,6 +121,7 @@
       clock,
       tickTimer,
       connections: UpstreamConnections.create(clock, limits),
+      dialect: ProductDialect.create(),
       onSuspects: () => this.onSuspects(),
       createDispatcher: port => Dispatcher.create({ service, clock, random, port, picker: ExpectedDelayPicker.create(policy), policy })
     })
--- a/packages/daemon/src/core/upstreamConnections.ts
+++ b/packages/daemon/src/core/upstreamConnections.ts
@@ -1,18 +1,22 @@
-import type { Clock } from '@cowsliplead/core/types/clock.js'
+import type { Clock, Milliseconds } from '@cowsliplead/core/types/clock.js'
 import { DEFAULT_ROUTING_POLICY, NO_POLICY_EXCEPTIONS, type PolicyExceptions, type RoutingPolicy } from '@cowsliplead/core/types/routingPolicy.js'
 import type { Upstream } from '@cowsliplead/core/types/upstream.js'
-import type { Limits } from '../types/settings.js'
 import { ConnectionSet } from './connectionSet.js'
 
+/** Bounds on connections to upstreams. */
+export interface ConnectionLimits {
+  readonly connectTimeoutMs: Milliseconds
+}
+
 /** Connection sets of one service, one for each upstream. */
 export class UpstreamConnections {
   private readonly sets = new Map<string, { readonly origin: string, readonly set: ConnectionSet }>()
   private policy: RoutingPolicy = DEFAULT_ROUTING_POLICY
   private exceptions = NO_POLICY_EXCEPTIONS.upstreams
 
-  private constructor (private readonly clock: Clock, private readonly limits: Limits) {}
+  private constructor (private readonly clock: Clock, private readonly limits: ConnectionLimits) {}
 
-  static create (clock: Clock, limits: Limits): UpstreamConnections {
+  static create (clock: Clock, limits: ConnectionLimits): UpstreamConnections {
     return new UpstreamConnections(clock, limits)
   }
 
@@ -60,8 +64,9 @@
     if (known?.origin === origin) return known.set.configure(limit, provenMs)
     // An id that comes back at another address is another process.
     if (known !== undefined) this.remove(upstream.id)
-    const { connectTimeoutMs, bodyStallMs } = this.limits
-    const set = ConnectionSet.create({ origin, clock: this.clock, limit, provenMs, connectTimeoutMs, bodyStallMs })
+    const { address: host, port } = upstream
+    const { connectTimeoutMs } = this.limits
+    const set = ConnectionSet.create({ host, port, clock: this.clock, limit, provenMs, connectTimeoutMs })
     this.sets.set(upstream.id, { origin, set })
   }
 
--- /dev/null
+++ b/packages/daemon/src/core/upstreams/httpConnection.ts
@@ -0,0 +1,252 @@
+import { connect, type Socket } from 'node:net'
+import type { Readable } from 'node:stream'
+import type { Milliseconds } from '@cowsliplead/core/types/clock.js'
+import { ResponseParser, type ParsedHead } from './responseParser.js'
+
+/** A request as it goes on the wire. */
+export interface OutgoingRequest {
+  readonly method: string
+  readonly path: string
+  /** Name, value, name, value; without framing headers other than a content length. */
+  readonly headers: readonly string[]
+  readonly body: Buffer | Readable | null
+}
+
+/**
+ * How an exchange failed. `unsent`: no byte of the request left. `invalid`: the bytes received are no response.
+ * `closed`: the connection ended, was reset or timed out.
+ */
+export type ExchangeLoss = 'unsent' | 'invalid' | 'closed'
+
+/** Receives the course of one exchange. After `onComplete` or `onLost` nothing follows. */
+export interface ExchangeHandler {
+  /** The first bytes of the request were handed to the connection. */
+  onSent (): void
+  /** More of the body was sent. */
+  onBodySent (): void
+  /** `skip` where the response belongs to another request; the exchange then waits for the next response. */
+  onHead (head: ParsedHead): 'take' | 'skip'
+  /** False pauses reading until `resume`. */
+  onData (chunk: Buffer): boolean
+  onComplete (): void
+  onLost (loss: ExchangeLoss): void
+}
+
+/** Options of a connection. */
+export interface HttpConnectionOptions {
+  readonly host: string
+  readonly port: number
+  readonly connectTimeoutMs: Milliseconds
+  /** Called once when the connection is closed by either side. */
+  readonly onClose: () => void
+}
+
+/** Keep-alive probes start after this idle time, so that the kernel notices a peer that vanished. */
+const KEEP_ALIVE_PROBE_MS = 1000
+
+/**
+ * One HTTP/1.1 connection to an upstream, one exchange at a time. HTTP client libraries are not used here because they
+ * take a response without a length for complete when the connection is reset, and cannot skip a stray response.
+ */
+export class HttpConnection {
+  private readonly socket: Socket
+  private readonly parser: ResponseParser
+  private handler: ExchangeHandler | undefined
+  private request: OutgoingRequest | undefined
+  private isConnected = false
+  private isSkipping = false
+  private isClosing = false
+  private isClosed = false
+  private wasReset = false
+  private isUploading = false
+  private completed = 0
+  private connectTimer: NodeJS.Timeout | undefined
+
+  private constructor (private readonly options: HttpConnectionOptions) {
+    this.parser = ResponseParser.create({
+      onHead: head => this.onHead(head),
+      onData: chunk => this.onData(chunk),
+      onComplete: () => this.onComplete()
+    }, () => this.request?.method === 'HEAD')
+    this.socket = this.open()
+  }
+
+  /** Starts to connect at once. */
+  static create (options: HttpConnectionOptions): HttpConnection {
+    return new HttpConnection(options)
+  }
+
+  /** Whether another exchange may be started. */
+  get isReusable (): boolean {
+    return !this.isClosing && this.handler === undefined
+  }
+
+  /** Whether an earlier exchange on this connection was completed; only then can a stray response follow. */
+  get hasHistory (): boolean {
+    return this.completed > 0
+  }
+
+  /** Sends a request. The connection is reusable. */
+  send (request: OutgoingRequest, handler: ExchangeHandler): void {
+    this.request = request
+    this.handler = handler
+    this.isSkipping = false
+    if (this.isConnected) this.write(request)
+  }
+
+  /** Stops reading until `resume`. */
+  pause (): void {
+    this.socket.pause()
+  }
+
+  /** Continues a paused response. */
+  resume (): void {
+    this.socket.resume()
+  }
+
+  /** Closes the connection; a running exchange hears nothing further. */
+  destroy (): void {
+    this.handler = undefined
+    this.close()
+  }
+
+  private open (): Socket {
+    const { host, port, connectTimeoutMs } = this.options
+    const socket = connect({ host, port, noDelay: true, keepAlive: true, keepAliveInitialDelay: KEEP_ALIVE_PROBE_MS })
+    this.connectTimer = setTimeout(() => this.close(), connectTimeoutMs)
+    socket.on('connect', () => this.onConnect())
+    socket.on('data', chunk => this.onBytes(chunk))
+    socket.on('end', () => this.onEnd())
+    socket.on('error', () => {
+      this.wasReset = true
+    })
+    socket.on('close', () => this.close())
+    return socket
+  }
+
+  private onConnect (): void {
+    clearTimeout(this.connectTimer)
+    this.isConnected = true
+    if (this.request !== undefined && this.handler !== undefined) this.write(this.request)
+  }
+
+  private write (request: OutgoingRequest): void {
+    const { socket, handler } = this
+    const head = Buffer.from(encodeHead(request, `${this.options.host}:${this.options.port}`), 'latin1')
+    const { body } = request
+    if (body === null || Buffer.isBuffer(body)) {
+      socket.write(body === null || body.length === 0 ? head : Buffer.concat([head, body]))
+    } else {
+      socket.write(head)
+      this.upload(body, !hasHeader(request.headers, 'content-length'))
+    }
+    handler?.onSent()
+  }
+
+  private upload (body: Readable, chunked: boolean): void {
+    const { socket, handler } = this
+    const isCurrent = (): boolean => this.handler === handler && !this.isClosing
+    this.isUploading = true
+    body.on('data', (chunk: Buffer) => {
+      if (!isCurrent()) return
+      if (chunked) socket.write(`${chunk.length.toString(16)}\r\n`)
+      const flowing = socket.write(chunk)
+      if (chunked) socket.write('\r\n')
+      handler?.onBodySent()
+      if (flowing) return
+      body.pause()
+      socket.once('drain', () => body.resume())
+    })
+    body.once('end', () => {
+      if (!isCurrent()) return
+      this.isUploading = false
+      if (chunked) socket.write('0\r\n\r\n')
+    })
+    // A body that the caller does not finish cannot be completed on this connection.
+    body.once('error', () => {
+      if (isCurrent()) this.close()
+    })
+  }
+
+  private onBytes (chunk: Buffer): void {
+    // Nothing was asked for: what an upstream sends unasked belongs to no request, and neither does what follows.
+    if (this.handler === undefined) return this.close()
+    if (this.parser.take(chunk)) return
+    this.lose('invalid')
+  }
+
+  private onHead (head: ParsedHead): void {
+    const { handler } = this
+    if (handler === undefined) return this.close()
+    if (!head.keepsConnection) this.isClosing = true
+    this.isSkipping = handler.onHead(head) === 'skip'
+  }
+
+  private onData (chunk: Buffer): void {
+    if (this.isSkipping || this.handler === undefined) return
+    if (!this.handler.onData(chunk)) this.socket.pause()
+  }
+
+  private onComplete (): void {
+    const { handler } = this
+    if (handler === undefined) return
+    this.completed += 1
+    if (this.isSkipping) {
+      this.isSkipping = false
+      return
+    }
+    this.handler = undefined
+    this.request = undefined
+    // The last part of the response may have paused reading, which nothing else would resume.
+    this.socket.resume()
+    // The rest of an unfinished body would be taken for the next request.
+    if (this.isUploading || this.isClosing) this.close()
+    handler.onComplete()
+  }
+
+  private onEnd (): void {
+    // A response without a length is complete only if the connection was closed in order.
+    if (!this.wasReset && this.handler !== undefined) this.parser.end()
+    this.close()
+  }
+
+  private lose (loss: ExchangeLoss): void {
+    const { handler } = this
+    this.handler = undefined
+    this.close()
+    handler?.onLost(loss)
+  }
+
+  private close (): void {
+    clearTimeout(this.connectTimer)
+    const { handler } = this
+    this.handler = undefined
+    if (!this.socket.destroyed) this.socket.destroy()
+    if (!this.isClosed) {
+      this.isClosed = true
+      this.isClosing = true
+      this.options.onClose()
+    }
+    handler?.onLost(this.isConnected ? 'closed' : 'unsent')
+  }
+}
+
+function encodeHead (request: OutgoingRequest, authority: string): string {
+  const { method, path, headers, body } = request
+  let head = `${method} ${path} HTTP/1.1\r\n`
+  if (!hasHeader(headers, 'host')) head += `Host: ${authority}\r\n`
+  for (let i = 0; i + 1 < headers.length; i += 2) head += `${headers[i]}: ${headers[i + 1]}\r\n`
+  if (!hasHeader(headers, 'content-length')) {
+    if (Buffer.isBuffer(body)) head += `Content-Length: ${body.length}\r\n`
+    else if (body !== null) head += 'Transfer-Encoding: chunked\r\n'
+  }
+  return `${head}Connection: keep-alive\r\n\r\n`
+}
+
+function hasHeader (headers: readonly string[], name: string): boolean {
+  for (let i = 0; i < headers.length; i += 2) {
+    const candidate = headers[i] as string
+    if (candidate.length === name.length && candidate.toLowerCase() === name) return true
+  }
+  return false
+}
--- /dev/null
+++ b/packages/daemon/src/types/gatewaySettings.ts
@@ -0,0 +1,33 @@
+import type { Milliseconds } from '@cowsliplead/core/types/clock.js'
+import type { RoutingPolicy } from '@cowsliplead/core/types/routingPolicy.js'
+
+/** Budget of all entry VMs together for attempts beyond the first of each request, for one service. */
+export interface FleetRetryBudget {
+  /** Share of the requests. */
+  readonly share: number
+  /** Attempts on top of the share. */
+  readonly calls: number
+}
+
+/** Settings of the daemon of one entry VM. */
+export interface GatewaySettings {
+  readonly vmId: string
+  readonly failureDomain: string
+  readonly region: string
+  /** Where callers connect. */
+  readonly publicAddress: string
+  /** Where the balancer asks for readiness. */
+  readonly readinessAddress: string
+  readonly readinessPath: string
+  /** Where peers and the metrics collector connect. */
+  readonly privateAddress: string
+  /** Private addresses of some peers; they may be stale. */
+  readonly seeds: readonly string[]
+  /** Time between SIGTERM and SIGKILL. */
+  readonly graceMs: Milliseconds
+  /** Time after the registry's return in which live upstreams renew entries that lapsed. */
+  readonly renewalMs: Milliseconds
+  readonly retryBudget: FleetRetryBudget
+  /** Numbers that differ from the routing defaults. */
+  readonly routing: Partial<RoutingPolicy>
+}
--- a/packages/daemon/src/utils/headers.ts
+++ b/packages/daemon/src/utils/headers.ts
@@ -19,12 +19,6 @@
   'te', 'trailer', 'transfer-encoding', 'upgrade', 'expect'
 ])
 
-/** Set by the daemon on every attempt, so a caller's own value is not forwarded. */
-const SET_ON_ATTEMPTS = new Set([REQUEST_ID_HEADER, DEADLINE_HEADER, TIMEOUT_HEADER])
-
-/** Meant for the daemon, not for callers. */
-const KEPT_FROM_CALLERS = new Set([REQUEST_ID_HEADER, LOAD_REPORT_HEADER, NOT_RUN_HEADER, CODE_HEADER])
-
 /** Lower-case names listed in the `connection` header, which are hop-by-hop too. */
 function connectionOptions (value: string | undefined): ReadonlySet<string> {
   if (value === undefined || /^(keep-alive|close)$/i.test(value)) return NONE
@@ -33,14 +27,14 @@
 
 const NONE: ReadonlySet<string> = new Set()
 
-/** End-to-end headers of a caller's request, as name, value, name, value. */
-export function requestHeaders (raw: readonly string[], connection: string | undefined): string[] {
-  return endToEnd(raw, connectionOptions(connection), SET_ON_ATTEMPTS)
+/** End-to-end headers of a caller's request without `dropped`, as name, value, name, value. */
+export function requestHeaders (raw: readonly string[], connection: string | undefined, dropped: ReadonlySet<string>): string[] {
+  return endToEnd(raw, connectionOptions(connection), dropped)
 }
 
-/** End-to-end headers of an upstream's response, as name, value, name, value. */
-export function responseHeaders (raw: readonly string[]): string[] {
-  return endToEnd(raw, connectionOptions(findHeader(raw, 'connection')), KEPT_FROM_CALLERS)
+/** End-to-end headers of an upstream's response without `dropped`, as name, value, name, value. */
+export function responseHeaders (raw: readonly string[], dropped: ReadonlySet<string>): string[] {
+  return endToEnd(raw, connectionOptions(findHeader(raw, 'connection')), dropped)
 }
 
 function endToEnd (raw: readonly string[], listed: ReadonlySet<string>, dropped: ReadonlySet<string>): string[] {
@@ -62,7 +56,8 @@
   return undefined
 }
 
-/** Raw header buffers as undici's parser hands them out, decoded one to one. */
-export function decodeHeaders (raw: readonly Buffer[]): string[] {
-  return raw.map(part => part.toString('latin1'))
+/** Idle time that a `Keep-Alive` header grants, in milliseconds; undefined where it grants none. */
+export function keepAliveMs (raw: readonly string[]): number | undefined {
+  const seconds = /timeout\s*=\s*(\d{1,6})/i.exec(findHeader(raw, 'keep-alive') ?? '')?.[1]
+  return seconds === undefined ? undefined : Number(seconds) * 1000
 }
