--- a/packages/core/src/core/callEngine.ts
+++ b/packages/core/src/core/callEngine.ts
@@ -160,6 +160,10 @@
     }
     state.place = 'queued'
     queue.push(state, now)
+    this.giveUpInTime(state)
+  }
+
+  private giveUpInTime (state: CallState): void {
     this.startBefore(state, () => ({ kind: 'notRun', code: 'deadlineUnreachable' }))
   }
 
@@ -198,7 +202,9 @@
 
   /** The probes of a call were answered, or have taken too long. */
   private resumeProbed (state: CallState): void {
-    this.enqueue(state, this.context.clock.now())
+    state.place = 'queued'
+    this.context.queue.restore(state, this.context.clock.now())
+    this.giveUpInTime(state)
     this.pump()
   }
 
@@ -236,12 +242,12 @@
     if (state === undefined) return false
     if (this.isHeldAsSuspect(state)) return true
     const choice = chooseUpstream(context, state, 'first')
-    if (choice === undefined) return this.refuseWithoutTakers(state)
-    if (!choice.isTrial && this.probes.begin(state)) {
+    if (choice?.isTrial !== true && this.probes.begin(state)) {
       this.leavePlace(state)
       state.place = 'probing'
       return true
     }
+    if (choice === undefined) return this.refuseWithoutTakers(state)
     context.queue.depart(state, context.clock.now())
     this.leavePlace(state)
     this.startOn(choice, state, 'first')
--- a/packages/core/src/core/callState.ts
+++ b/packages/core/src/core/callState.ts
@@ -25,8 +25,8 @@
   readonly triedDomains: Set<string>
   /** Set after a stall: the next attempt needs a proven connection. */
   needsProvenConnection: boolean
-  /** Whether probes were sent for this call. */
-  isProbed: boolean
+  /** When probes were last sent for this call. */
+  probedAt: Milliseconds
 }
 
 /** An attempt under way. */
@@ -65,6 +65,6 @@
     triedUpstreams: new Set(),
     triedDomains: new Set(),
     needsProvenConnection: false,
-    isProbed: false
+    probedAt: -Infinity
   }
 }
--- a/packages/core/src/core/loadProbes.ts
+++ b/packages/core/src/core/loadProbes.ts
@@ -30,11 +30,12 @@
   /** Returns whether the call has to wait for probes. */
   begin (state: CallState): boolean {
     const { policy, clock, timers } = this.context
-    if (state.isProbed || policy.probeUpstreams === 0) return false
+    const now = clock.now()
+    if (policy.probeUpstreams === 0 || now - state.probedAt < policy.probeReportAgeMs) return false
     const upstreams = new Set(this.targetsFor(state).filter(upstream => this.isProbed(upstream)))
     if (upstreams.size === 0) return false
-    state.isProbed = true
-    const timer = timers.schedule(clock.now() + policy.probeWaitMs, () => this.end(state))
+    state.probedAt = now
+    const timer = timers.schedule(now + policy.probeWaitMs, () => this.end(state))
     this.waiting.set(state, { upstreams, timer })
     return true
   }
--- a/packages/core/src/core/upstreamState.ts
+++ b/packages/core/src/core/upstreamState.ts
@@ -66,8 +66,10 @@
     return new UpstreamState(upstream, warmSince, adaptiveLimit, policy)
   }
 
+  /** Slots that are used. */
   get slots (): number | undefined {
-    return this.report?.slots ?? this.upstream.slots
+    const slots = this.report?.slots ?? this.upstream.slots
+    return slots === undefined ? undefined : Math.max(1, Math.floor(slots * this.policy.usableSlotShare))
   }
 
   /** Takes the newest report; one received earlier than the known one is ignored. */
--- a/packages/core/src/core/waitQueue.ts
+++ b/packages/core/src/core/waitQueue.ts
@@ -9,7 +9,7 @@
 
 interface KindQueue {
   readonly kind: RequestKind
-  readonly calls: Set<CallState>
+  calls: Set<CallState>
   readonly rate: DepartureRate
   /** Service time that the floor owes to this kind. */
   creditMs: Milliseconds
@@ -50,6 +50,15 @@
     this.waiting += 1
   }
 
+  /** Puts a call back in front of its kind's others. */
+  restore (state: CallState, now: Milliseconds): void {
+    const queue = this.queueOf(state.call.kind)
+    if (this.waiting === 0) this.onBacklog(now)
+    if (queue.calls.size === 0) queue.rate.onBacklog(now)
+    queue.calls = new Set([state, ...queue.calls])
+    this.waiting += 1
+  }
+
   /** How long the queue has not been empty. */
   backlogMs (now: Milliseconds): Milliseconds {
     return this.waiting === 0 ? 0 : now - this.backlogSince
--- a/packages/core/src/types/routingPolicy.ts
+++ b/packages/core/src/types/routingPolicy.ts
@@ -4,6 +4,8 @@
 export interface RoutingPolicy {
   /** Attempts of one VM that may wait at an upstream beyond its slots. */
   readonly queueAllowanceCalls: number
+  /** Share of an upstream's slots that is used, rounded down to whole slots; upstreams may be slower when they are nearly full. */
+  readonly usableSlotShare: number
   /** Connections that one upstream accepts; the live entry VMs divide them equally. */
   readonly connectionsPerUpstream: number
   /** Services with more upstreams than this use a deterministic subset on each VM. */
@@ -142,6 +144,7 @@
 /** Defaults for the whole fleet. */
 export const DEFAULT_ROUTING_POLICY: RoutingPolicy = {
   queueAllowanceCalls: 1,
+  usableSlotShare: 1,
   connectionsPerUpstream: 250,
   scanLimitUpstreams: 64,
   holdExcessPerSlot: 2,
