--- a/packages/core/src/core/attemptWatch.ts
+++ b/packages/core/src/core/attemptWatch.ts
@@ -87,11 +87,12 @@
     const hasOther = owner.running.length > 1
     const isMovable = owner.call.kind.idempotent && !isResponding && (hasOther || (budget.canRetry() && this.engine.mayRetry(owner)))
     if (!isResponding && !isMovable) return false
-    counters.stalls += 1
     owner.needsProvenConnection = true
+    // The stalled attempt may still be answered, so it goes on until another one runs in its place.
+    if (!isResponding && !hasOther && !this.engine.startReplacement(owner)) return false
+    counters.stalls += 1
     this.engine.cancelAttempt(attempt, 'stalled')
     if (isResponding) this.engine.finish(owner, resultWithoutAnswer(owner, 'answerTruncated'))
-    else if (!hasOther) this.engine.retryOrFinish(owner, 'deadlineExceeded')
     return true
   }
 }
--- a/packages/core/src/core/callEngine.ts
+++ b/packages/core/src/core/callEngine.ts
@@ -97,6 +97,17 @@
     return true
   }
 
+  /** Starts an attempt in place of one that stalled, if an upstream with room is known. Returns whether it started. */
+  startReplacement (state: CallState): boolean {
+    if (this.context.suspects.verdict(state.call.fingerprint, this.context.clock.now()) !== 'clear') return false
+    const choice = chooseUpstream(this.context, state, 'retry')
+    if (choice === undefined) return false
+    this.context.budget.spend()
+    this.context.counters.retries += 1
+    this.startOn(choice, state, 'retry')
+    return true
+  }
+
   deliver (state: CallState, attempt: AttemptState): void {
     this.cancelRunning(state, 'lostHedge', attempt)
     this.finish(state, { kind: 'delivered', attemptId: attempt.attempt.id })
--- a/packages/daemon/src/core/gateway/callerServer.ts
+++ b/packages/daemon/src/core/gateway/callerServer.ts
@@ -13,6 +13,9 @@
 /** Callers that reuse a connection just as its idle time ends must not meet its close. */
 const IDLE_MARGIN_MS = 1000
 
+/** Time in which a response that was handed to the connection reaches its caller. */
+const DELIVERY_MS = 60
+
 /** The port for callers. Node's server is used directly: the framework's routing has nothing to route here. */
 export class CallerServer {
   private readonly server: Server
@@ -44,14 +47,18 @@
     this.server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS
   }
 
+  /** Stops listening. Node's own `close` cuts connections whose response is written but not sent yet. */
+  stopListening (): void {
+    NetServer.prototype.close.call(this.server)
+  }
+
   /**
-   * Stops listening and closes connections without a request. Node's own `close` cuts connections whose response is
-   * written but not sent yet.
+   * Closes connections without a request at once, so that none is read that will not be answered. One whose response
+   * has just left is spared: a request that arrives as it closes would reset it and take the response along.
    */
-  close (): void {
-    NetServer.prototype.close.call(this.server)
+  closeIdle (): void {
     for (const socket of this.sockets) {
-      if (this.proxy.isIdle(socket)) socket.end()
+      if (this.proxy.idleMs(socket) > DELIVERY_MS && socket.writableLength === 0) socket.destroy()
     }
   }
 
--- a/packages/daemon/src/core/gateway/controlState.ts
+++ b/packages/daemon/src/core/gateway/controlState.ts
@@ -33,6 +33,7 @@
   private readonly configReader: TableReader
   private readonly upstreamReader: TableReader
   private hasUpstreams = false
+  private expiryTimer: NodeJS.Timeout | undefined
 
   private constructor (private readonly options: ControlStateOptions) {
     const { store, clock, renewalMs } = options
@@ -57,6 +58,7 @@
   stop (): void {
     this.configReader.stop()
     this.upstreamReader.stop()
+    clearTimeout(this.expiryTimer)
   }
 
   /** What is missing before requests can be served. */
@@ -90,6 +92,7 @@
       onReturn: () => {
         contact.onReturn()
         this.directory.onRegistryReturn(clock.now())
+        this.scheduleExpiry()
       },
       onSnapshot: records => this.takeAllUpstreams(records),
       onChanges: records => {
@@ -149,6 +152,12 @@
     journal.info('upstream changed', { upstream: record.key, change, service: entry?.service, incarnation: entry?.incarnation })
   }
 
+  /** Entries that were not renewed are gone even where no further change arrives. */
+  private scheduleExpiry (): void {
+    clearTimeout(this.expiryTimer)
+    this.expiryTimer = setTimeout(() => this.publishUpstreams(), this.options.renewalMs)
+  }
+
   private publishUpstreams (): void {
     const { clock, services, journal } = this.options
     const lapsed = this.directory.expire(clock.now())
--- a/packages/daemon/src/core/gateway/gateway.ts
+++ b/packages/daemon/src/core/gateway/gateway.ts
@@ -27,8 +27,6 @@
 /** Part of the grace period after which a stopping daemon ends even with requests in flight. */
 const EXIT_SHARE = 0.97
 const DRAIN_POLL_MS = 20
-/** Time for the last responses to leave after they were written. */
-const CLOSE_TIMEOUT_MS = 150
 
 /** What the daemon is connected to. */
 export interface GatewayPeripherals {
@@ -91,12 +89,12 @@
     this.isStopping = true
     this.peripherals.journal.info('stopping', { inFlight: this.proxy.inFlight })
     await sleep(graceMs * ACCEPT_SHARE)
-    this.callerServer.close()
-    while (this.proxy.inFlight > 0 && this.clock.now() < startedAt + graceMs * EXIT_SHARE) await sleep(DRAIN_POLL_MS)
+    this.callerServer.stopListening()
+    while (!this.callerServer.isClosed && this.clock.now() < startedAt + graceMs * EXIT_SHARE) {
+      this.callerServer.closeIdle()
+      await sleep(DRAIN_POLL_MS)
+    }
     const interrupted = this.proxy.inFlight
-    this.callerServer.close()
-    const closedBy = this.clock.now() + CLOSE_TIMEOUT_MS
-    while (!this.callerServer.isClosed && this.clock.now() < closedBy) await sleep(DRAIN_POLL_MS)
     this.peripherals.journal.info('stopped', { interrupted })
     this.release()
     return interrupted
--- a/packages/daemon/src/core/pipelineCounter.ts
+++ b/packages/daemon/src/core/pipelineCounter.ts
@@ -1,29 +1,44 @@
 import type { Socket } from 'node:net'
+import type { Clock, Milliseconds } from '@cowsliplead/core/types/clock.js'
+
+interface Pipeline {
+  waiting: number
+  /** When the last response was handed to the connection. */
+  idleSince: Milliseconds
+}
 
 /** Counts the requests on each caller connection that wait for their response. */
 export class PipelineCounter {
-  private readonly waiting = new WeakMap<Socket, number>()
+  private readonly pipelines = new WeakMap<Socket, Pipeline>()
 
-  private constructor () {}
+  private constructor (private readonly clock: Clock) {}
 
-  static create (): PipelineCounter {
-    return new PipelineCounter()
+  static create (clock: Clock): PipelineCounter {
+    return new PipelineCounter(clock)
   }
 
   enter (socket: Socket): void {
-    this.waiting.set(socket, (this.waiting.get(socket) ?? 0) + 1)
+    const pipeline = this.pipelines.get(socket) ?? { waiting: 0, idleSince: 0 }
+    pipeline.waiting += 1
+    this.pipelines.set(socket, pipeline)
   }
 
   leave (socket: Socket): void {
-    this.waiting.set(socket, (this.waiting.get(socket) ?? 1) - 1)
+    const pipeline = this.pipelines.get(socket)
+    if (pipeline === undefined) return
+    pipeline.waiting -= 1
+    pipeline.idleSince = this.clock.now()
   }
 
-  isEmpty (socket: Socket): boolean {
-    return (this.waiting.get(socket) ?? 0) === 0
+  /** How long no request on the connection has been waiting; 0 while one waits, infinite before the first. */
+  idleMs (socket: Socket): Milliseconds {
+    const pipeline = this.pipelines.get(socket)
+    if (pipeline === undefined) return Infinity
+    return pipeline.waiting > 0 ? 0 : this.clock.now() - pipeline.idleSince
   }
 
   /** Whether no further request on this connection waits behind the one being answered. */
   isLast (socket: Socket): boolean {
-    return (this.waiting.get(socket) ?? 0) <= 1
+    return (this.pipelines.get(socket)?.waiting ?? 0) <= 1
   }
 }
--- a/packages/daemon/src/core/proxy.ts
+++ b/packages/daemon/src/core/proxy.ts
@@ -59,17 +59,19 @@
 export class Proxy {
   /** Requests whose response has not been sent completely. */
   inFlight = 0
-  private readonly pipelines = PipelineCounter.create()
+  private readonly pipelines: PipelineCounter
 
-  private constructor (private readonly options: ProxyOptions) {}
+  private constructor (private readonly options: ProxyOptions) {
+    this.pipelines = PipelineCounter.create(options.clock)
+  }
 
   static create (options: ProxyOptions): Proxy {
     return new Proxy(options)
   }
 
-  /** Whether no request on this connection waits for its response. */
-  isIdle (socket: Socket): boolean {
-    return this.pipelines.isEmpty(socket)
+  /** How long no request on the connection has been waiting for its response; 0 while one waits. */
+  idleMs (socket: Socket): Milliseconds {
+    return this.pipelines.idleMs(socket)
   }
 
   /** Handles one request of a caller. */
