Log every decision about a request, bound the log, expose metrics and a state dump; tests of the new modules

One line for each attempt, its abnormal end, cancellation and the result, with the request's id and what the choice went by; 300 request lines a second at most, the rest counted; output through the thread pool, since Node writes pipes synchronously. Metrics and the dump are on the admin address.

--- a/packages/core/src/core/callEngine.ts
+++ b/packages/core/src/core/callEngine.ts
@@ -1,5 +1,5 @@
 import type { Milliseconds } from '../types/clock.js'
-import type { AttemptPurpose, Call, CallResult, CancelReason } from '../types/dispatch.js'
+import type { AttemptBasis, AttemptPurpose, Call, CallResult, CancelReason } from '../types/dispatch.js'
 import type { ResultCodeName } from '../types/resultCode.js'
 import type { Timer } from '../utils/timerQueue.js'
 import { latestStartAt, refusalOnArrival } from './admission.js'
@@ -282,7 +282,8 @@
         upstreamId: target.upstream.id,
         deadlineAt: state.call.deadlineAt,
         provenConnection: !state.call.kind.idempotent || state.needsProvenConnection,
-        purpose
+        purpose,
+        basis: this.basisOf(target, state, now)
       },
       owner: state,
       state: target,
@@ -302,6 +303,19 @@
     context.port.startAttempt(attempt.attempt)
   }
 
+  private basisOf (target: UpstreamState, { call: { kind } }: CallState, now: Milliseconds): AttemptBasis {
+    const { report } = target
+    return {
+      reportAgeMs: report === undefined ? undefined : now - report.receivedAt,
+      reportedInFlight: report?.inFlight,
+      reportedQueued: report?.queued,
+      relativeTime: this.context.model.relativeTimeOf(target, now),
+      ownInFlight: target.inFlight,
+      expectedMs: this.context.model.expectedMs(kind, target, now),
+      waitingCalls: this.waitingCalls
+    }
+  }
+
   private register (attempt: AttemptState): void {
     const { owner, state } = attempt
     owner.place = 'running'
--- a/packages/core/src/types/dispatch.ts
+++ b/packages/core/src/types/dispatch.ts
@@ -29,6 +29,23 @@
   /** True where only a new connection, or one that lately carried an answer, may be used. */
   readonly provenConnection: boolean
   readonly purpose: AttemptPurpose
+  /** What the choice of the upstream went by, for the log. */
+  readonly basis: AttemptBasis
+}
+
+/** What was known of an upstream when it was chosen. */
+export interface AttemptBasis {
+  /** Age of the newest load report; undefined where there is none. */
+  readonly reportAgeMs: Milliseconds | undefined
+  readonly reportedInFlight: number | undefined
+  readonly reportedQueued: number | undefined
+  /** How long work takes there now, relative to its usual time. */
+  readonly relativeTime: number
+  /** Attempts of this VM under way there. */
+  readonly ownInFlight: number
+  readonly expectedMs: Milliseconds
+  /** Calls of the service that wait in this VM. */
+  readonly waitingCalls: number
 }
 
 /** Why an attempt was started. */
--- /dev/null
+++ b/packages/daemon/__tests__/httpConnection.test.ts
@@ -0,0 +1,136 @@
+import { createServer, type AddressInfo, type Server, type Socket } from 'node:net'
+import { expect } from 'chai'
+import { HttpConnection, type ExchangeHandler, type ExchangeLoss, type OutgoingRequest } from '../src/core/upstreams/httpConnection.js'
+import type { ParsedHead } from '../src/core/upstreams/responseParser.js'
+
+const GET: OutgoingRequest = { method: 'GET', path: '/', headers: ['X-Id', '1'], body: null }
+
+/** Records an exchange; `accepts` decides by head and `flows` by chunk. */
+class Recorder implements ExchangeHandler {
+  readonly heads: ParsedHead[] = []
+  body = ''
+  readonly ended: Promise<'complete' | ExchangeLoss>
+  private end: (how: 'complete' | ExchangeLoss) => void = () => {}
+
+  constructor (private readonly accepts: (head: ParsedHead) => boolean = () => true, private readonly flows: () => boolean = () => true) {
+    this.ended = new Promise(resolve => {
+      this.end = resolve
+    })
+  }
+
+  onSent (): void {}
+
+  onBodySent (): void {}
+
+  onHead (head: ParsedHead): 'take' | 'skip' {
+    this.heads.push(head)
+    return this.accepts(head) ? 'take' : 'skip'
+  }
+
+  onData (chunk: Buffer): boolean {
+    this.body += chunk.toString()
+    return this.flows()
+  }
+
+  onComplete (): void {
+    this.end('complete')
+  }
+
+  onLost (loss: ExchangeLoss): void {
+    this.end(loss)
+  }
+}
+
+function response (body: string, id = 'own'): string {
+  return `HTTP/1.1 200 OK\r\nX-Id: ${id}\r\nContent-Length: ${body.length}\r\n\r\n${body}`
+}
+
+describe('connections to upstreams', () => {
+  let server: Server
+  const sockets = new Set<Socket>()
+
+  /** A server that calls `onRequest` with the number of the request on its connection. */
+  async function listen (onRequest: (socket: Socket, count: number) => void): Promise<HttpConnection> {
+    server = createServer(socket => {
+      let count = 0
+      sockets.add(socket)
+      socket.on('error', () => {})
+      socket.on('data', () => onRequest(socket, ++count))
+    })
+    await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+    return connect()
+  }
+
+  function connect (): HttpConnection {
+    return HttpConnection.create({ host: '127.0.0.1', port: (server.address() as AddressInfo).port, connectTimeoutMs: 1000, onClose: () => {} })
+  }
+
+  async function exchange (connection: HttpConnection, recorder = new Recorder()): Promise<Recorder> {
+    connection.send(GET, recorder)
+    await recorder.ended
+    return recorder
+  }
+
+  afterEach(() => {
+    for (const socket of sockets) socket.destroy()
+    sockets.clear()
+    server.close()
+  })
+
+  // Guards against a stray answer that is delivered to, or fails, the next request of the connection.
+  it('skips a late extra response and waits for the own one', async () => {
+    const connection = await listen((socket, count) => socket.write(count === 1 ? response('first', 'a') : response('stray', 'a') + response('second', 'b')))
+    await exchange(connection)
+    const recorder = new Recorder(({ rawHeaders }) => rawHeaders.includes('b'))
+    await exchange(connection, recorder)
+    expect([recorder.body, await recorder.ended]).to.deep.equal(['second', 'complete'])
+  })
+
+  // Guards against a connection with bytes that nobody asked for being used again.
+  it('is not reused after bytes beyond the response', async () => {
+    const connection = await listen(socket => socket.write(response('whole') + response('more')))
+    expect((await exchange(connection)).body).to.equal('whole')
+    await new Promise(resolve => setTimeout(resolve, 20))
+    expect(connection.isReusable).to.equal(false)
+  })
+
+  // Guards against a connection that stays paused for its next request because the last chunk paused it.
+  it('reads the next response after one whose last chunk paused reading', async () => {
+    const connection = await listen(socket => socket.write(response('x')))
+    await exchange(connection, new Recorder(() => true, () => false))
+    expect((await exchange(connection)).body).to.equal('x')
+  })
+
+  // Guards against a reset that completes a response without a length.
+  it('loses a response without a length that is reset, and completes one that ends in order', async () => {
+    const head = 'HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart'
+    const reset = await listen(socket => socket.write(head, () => setTimeout(() => socket.resetAndDestroy(), 10)))
+    expect(await (await exchange(reset)).ended).to.equal('closed')
+    server.close()
+    const ended = await listen(socket => socket.end(head))
+    expect(await (await exchange(ended)).ended).to.equal('complete')
+  })
+
+  const invalid: Array<[string, string]> = [
+    ['text that is no response', 'hello\r\n\r\n'],
+    ['a chunk head that is no number', 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\nzz\r\n\r\n'],
+    ['a length that is no number', 'HTTP/1.1 200 OK\r\nContent-Length: ten\r\n\r\n0123456789']
+  ]
+  for (const [name, bytes] of invalid) {
+    // Guards against garbled bytes that pass for a complete response.
+    it(`takes ${name} for invalid`, async () => {
+      const connection = await listen(socket => socket.write(bytes))
+      expect(await (await exchange(connection)).ended).to.equal('invalid')
+    })
+  }
+
+  // Guards against "not run" for a request that was sent, and against "unknown" for one that was not.
+  it('tells a refused connection from one that closed after the request was sent', async () => {
+    const sent = await listen(socket => socket.destroy())
+    expect(await (await exchange(sent)).ended).to.equal('closed')
+    const { port } = server.address() as AddressInfo
+    await new Promise(resolve => server.close(resolve))
+    const refused = HttpConnection.create({ host: '127.0.0.1', port, connectTimeoutMs: 1000, onClose: () => {} })
+    expect(await (await exchange(refused)).ended).to.equal('unsent')
+  })
+})
--- a/packages/daemon/src/core/callRun.ts
+++ b/packages/daemon/src/core/callRun.ts
@@ -33,6 +33,11 @@
     return new CallRun(call, request, sink, dialect)
   }
 
+  /** Id of the caller's request. */
+  get requestId (): string {
+    return this.request.requestId
+  }
+
   /** The request as the next attempt sends it. */
   nextAttempt (upstreamId: string, deadlineAt: Milliseconds, now: Milliseconds): AttemptRequest {
     const { method, path, body, requestId } = this.request
--- a/packages/daemon/src/core/gateway/gateway.ts
+++ b/packages/daemon/src/core/gateway/gateway.ts
@@ -4,14 +4,18 @@
 import type { Dialect } from '../../types/dialect.js'
 import type { GatewaySettings } from '../../types/gatewaySettings.js'
 import { sleep } from '../../utils/sleep.js'
-import type { Journal } from '../journal.js'
+import { Metrics } from '../metrics.js'
 import { Proxy } from '../proxy.js'
 import { RequestIds } from '../requestIds.js'
 import { TickTimer } from '../tickTimer.js'
+import { AdminServer } from './adminServer.js'
+import { CallLog } from './callLog.js'
 import { CallerServer } from './callerServer.js'
 import { ControlState } from './controlState.js'
+import { EventLog } from './eventLog.js'
 import { GatewayServices } from './gatewayServices.js'
 import { MonotonicClock } from './monotonicClock.js'
+import { retryBudgetOf } from './retryBudgetShare.js'
 import { ReadinessServer } from './readinessServer.js'
 
 /** Short against the shortest stall interval. */
@@ -32,7 +36,6 @@
 export interface GatewayPeripherals {
   readonly store: ControlStore
   readonly dialect: Dialect
-  readonly journal: Journal
 }
 
 /** One entry VM's daemon: takes requests of callers to upstreams. */
@@ -44,12 +47,18 @@
   private readonly proxy: Proxy
   private readonly callerServer: CallerServer
   private readonly readinessServer: ReadinessServer
+  private readonly adminServer: AdminServer
+  private readonly log: EventLog
   private isStopping = false
   private touchTimer: NodeJS.Timeout | undefined
 
-  private constructor (private readonly settings: GatewaySettings, private readonly peripherals: GatewayPeripherals) {
+  private constructor (private settings: GatewaySettings, private readonly peripherals: GatewayPeripherals) {
     const { clock, tickTimer } = this
-    const { store, dialect, journal } = peripherals
+    const { store, dialect } = peripherals
+    const log = EventLog.create(settings.vmId, clock)
+    const metrics = this.createMetrics(log)
+    const latencies = metrics.createLatencyHistogram()
+    this.log = log
     const { failureDomain, renewalMs } = settings
     this.services = GatewayServices.create({
       clock,
@@ -58,14 +67,16 @@
       dialect,
       limits: { connectTimeoutMs: CONNECT_TIMEOUT_MS },
       failureDomain,
-      policy: this.createPolicy()
+      policy: policyOf(settings),
+      observerOf: service => CallLog.create(service, log, latencies)
     })
     this.control = ControlState.create({
-      store, clock, services: this.services, journal, renewalMs, onConfig: () => this.callerServer.applyLimits()
+      store, clock, services: this.services, journal: log.journal, renewalMs, onConfig: () => this.callerServer.applyLimits()
     })
     this.proxy = this.createProxy()
     this.callerServer = CallerServer.create(this.proxy, () => this.services.config?.limits)
     this.readinessServer = ReadinessServer.create(settings.readinessPath, () => this.unreadyReasons())
+    this.adminServer = AdminServer.create(metrics, () => this.describe())
   }
 
   static create (settings: GatewaySettings, peripherals: GatewayPeripherals): Gateway {
@@ -74,20 +85,33 @@
 
   /** Starts to read the control store and to serve. */
   async start (): Promise<void> {
-    const { services, settings, peripherals: { journal } } = this
+    const { services, settings, log: { journal } } = this
     this.touchTimer = setInterval(() => services.touchWaiting(), TOUCH_INTERVAL_MS)
     this.control.start()
     await this.callerServer.listen(settings.publicAddress)
     await this.readinessServer.listen(settings.readinessAddress)
+    await this.adminServer.listen(settings.adminAddress)
     journal.info('started', { vm: settings.vmId, failureDomain: settings.failureDomain })
   }
 
+  /** Takes over settings that may change while the daemon runs: the routing numbers and the retry budget. */
+  reload (settings: GatewaySettings): void {
+    this.settings = { ...this.settings, routing: settings.routing, retryBudget: settings.retryBudget }
+    this.services.setPolicy(policyOf(this.settings))
+    this.log.journal.info('settings reloaded', { retryBudget: settings.retryBudget })
+  }
+
+  /** A reload failed; the settings in force stay. */
+  onReloadFailure (error: Error): void {
+    this.log.journal.error('settings cannot be reloaded', { error: error.message })
+  }
+
   /** Stops without interrupting a request; returns the number of requests that outlasted the grace period. */
   async stop (): Promise<number> {
     const { graceMs } = this.settings
     const startedAt = this.clock.now()
     this.isStopping = true
-    this.peripherals.journal.info('stopping', { inFlight: this.proxy.inFlight })
+    this.log.journal.info('stopping', { inFlight: this.proxy.inFlight })
     await sleep(graceMs * ACCEPT_SHARE)
     this.callerServer.stopListening()
     while (!this.callerServer.isClosed && this.clock.now() < startedAt + graceMs * EXIT_SHARE) {
@@ -95,7 +119,7 @@
       await sleep(DRAIN_POLL_MS)
     }
     const interrupted = this.proxy.inFlight
-    this.peripherals.journal.info('stopped', { interrupted })
+    this.log.journal.info('stopped', { interrupted })
     this.release()
     return interrupted
   }
@@ -105,6 +129,7 @@
     this.control.stop()
     this.peripherals.store.close()
     this.readinessServer.close()
+    this.adminServer.close()
     this.services.close()
     this.tickTimer.stop()
   }
@@ -122,11 +147,34 @@
       bodyTimeoutMs: BODY_TIMEOUT_MS,
       maxBodyBytes: () => this.services.config?.limits.maxBodyBytes ?? Infinity,
       isStopping: () => this.isStopping,
-      onError: error => this.peripherals.journal.error('a request failed inside the daemon', { error: error.stack })
+      onError: error => this.log.journal.error('a request failed inside the daemon', { error: error.stack })
     })
   }
 
-  private createPolicy (): RoutingPolicy {
-    return { ...DEFAULT_ROUTING_POLICY, ...this.settings.routing }
+  private createMetrics (log: EventLog): Metrics {
+    return Metrics.create({
+      services: () => this.services.all(),
+      revision: () => this.services.config?.version ?? 0,
+      ready: () => this.unreadyReasons().length === 0,
+      callsInFlight: () => this.proxy.inFlight,
+      logLinesLost: () => log.omitted + log.dropped
+    })
   }
+
+  /** The state for the dump. */
+  private describe (): Record<string, unknown> {
+    const { vmId, failureDomain } = this.settings
+    return {
+      vmId,
+      failureDomain,
+      unreadyReasons: this.unreadyReasons(),
+      inFlight: this.proxy.inFlight,
+      control: this.control.describe(),
+      services: Object.fromEntries(this.services.all().map(host => [host.service, host.describe()]))
+    }
+  }
+}
+
+function policyOf (settings: GatewaySettings): RoutingPolicy {
+  return { ...DEFAULT_ROUTING_POLICY, ...settings.routing, ...retryBudgetOf(settings.retryBudget) }
 }
--- a/packages/daemon/src/core/gateway/gatewayServices.ts
+++ b/packages/daemon/src/core/gateway/gatewayServices.ts
@@ -12,10 +12,14 @@
 import type { Upstream } from '@cowsliplead/core/types/upstream.js'
 import type { Dialect } from '../../types/dialect.js'
 import type { RequestTarget } from '../proxy.js'
-import { ServiceHost } from '../serviceHost.js'
+import { ServiceHost, type CallObserver } from '../serviceHost.js'
 import type { TickTimer } from '../tickTimer.js'
 import { UpstreamConnections, type ConnectionLimits } from '../upstreamConnections.js'
 
+// VMs do not know how many they are; load reports tell each one what the others do.
+const SOLE_RANK = 0
+const SOLE_COUNT = 1
+
 /** What the services are made of. */
 export interface GatewayServicesOptions {
   readonly clock: Clock
@@ -25,6 +29,8 @@
   readonly limits: ConnectionLimits
   readonly failureDomain: string
   readonly policy: RoutingPolicy
+  /** Who hears of the decisions about calls of a service. */
+  readonly observerOf: (service: string) => CallObserver
 }
 
 /** The service hosts of the routes in force. */
@@ -33,8 +39,6 @@
   private readonly kinds = new Map<Route, RequestKind>()
   private readonly hosts = new Map<string, ServiceHost>()
   private upstreams: readonly Upstream[] = []
-  private entryRank = 0
-  private entryCount = 1
   /** Hosts of services that no configuration names any more, until their last call ends. */
   private retired: ServiceHost[] = []
 
@@ -70,10 +74,8 @@
     this.closeRetired()
   }
 
-  /** Takes this VM's place among the live entry VMs, and numbers that depend on it. */
-  setShare (rank: number, count: number, policy: RoutingPolicy): void {
-    this.entryRank = rank
-    this.entryCount = count
+  /** Takes over numbers that changed. */
+  setPolicy (policy: RoutingPolicy): void {
     this.policy = policy
     for (const target of this.config?.services.values() ?? []) this.putHost(target)
   }
@@ -116,6 +118,7 @@
       dialect,
       connections: UpstreamConnections.create(clock, limits),
       onSuspects: () => {},
+      observer: this.options.observerOf(name),
       createDispatcher: port => Dispatcher.create({
         service: name, clock, random, port, picker: ExpectedDelayPicker.create(policy), policy, failureDomain
       })
@@ -124,7 +127,7 @@
 
   private updateUpstreams (host: ServiceHost): void {
     const own = this.upstreams.filter(({ service }) => service === host.service)
-    host.setUpstreams(own, this.entryRank, this.entryCount)
+    host.setUpstreams(own, SOLE_RANK, SOLE_COUNT)
   }
 
   private retire (service: string): void {
--- a/packages/daemon/src/core/metrics.ts
+++ b/packages/daemon/src/core/metrics.ts
@@ -1,4 +1,4 @@
-import { Counter, Gauge, Registry } from 'prom-client'
+import { Counter, Gauge, Histogram, Registry } from 'prom-client'
 import type { ServiceHost } from './serviceHost.js'
 import type { ServiceCounters } from './serviceCounters.js'
 import type { ComponentState } from './supervisor.js'
@@ -8,10 +8,14 @@
   services (): readonly ServiceHost[]
   revision (): number
   ready (): boolean
-  stalls (): number
+  /** Absent where stalls of the event loop are not watched. */
+  stalls? (): number
+  /** Log lines left out or dropped; absent where none can be. */
+  logLinesLost? (): number
   callsInFlight (): number
-  ownedPartitions (): number
-  components (): readonly ComponentState[]
+  /** Absent where the daemon owns no keys. */
+  ownedPartitions? (): number
+  components? (): readonly ComponentState[]
 }
 
 type CountName = 'results' | 'attempts' | 'ends' | 'cancels'
@@ -34,9 +38,11 @@
     this.addGauge('cowsliplead_config_revision', 'Configuration revision in force', () => source.revision())
     this.addGauge('cowsliplead_ready', '1 where the daemon is ready', () => source.ready() ? 1 : 0)
     this.addGauge('cowsliplead_calls_in_flight', 'Requests of callers under way', () => source.callsInFlight())
-    this.addGauge('cowsliplead_event_loop_stalls', 'Event-loop stalls since the start', () => source.stalls())
-    this.addGauge('cowsliplead_owned_partitions', 'Partitions of keys that the VM owns', () => source.ownedPartitions())
-    this.addRestarts()
+    const { ownedPartitions, components, stalls, logLinesLost } = source
+    if (stalls !== undefined) this.addGauge('cowsliplead_event_loop_stalls', 'Event-loop stalls since the start', stalls)
+    if (logLinesLost !== undefined) this.addGauge('cowsliplead_log_lines_lost', 'Log lines left out or dropped since the start', logLinesLost)
+    if (ownedPartitions !== undefined) this.addGauge('cowsliplead_owned_partitions', 'Partitions of keys that the VM owns', ownedPartitions)
+    if (components !== undefined) this.addRestarts(components)
   }
 
   static create (source: MetricsSource): Metrics {
@@ -89,8 +95,18 @@
     }))
   }
 
-  private addRestarts (): void {
-    const { source } = this
+  /** A histogram that the caller fills. */
+  createLatencyHistogram (): Histogram<'service' | 'result'> {
+    return new Histogram({
+      name: 'cowsliplead_call_seconds',
+      help: 'Time from arrival to result',
+      labelNames: ['service', 'result'],
+      buckets: [0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.8, 1, 1.5, 2, 3],
+      registers: [this.registry]
+    })
+  }
+
+  private addRestarts (components: () => readonly ComponentState[]): void {
     this.registry.registerMetric(new Counter({
       name: 'cowsliplead_component_restarts_total',
       help: 'Restarts of supervised components',
@@ -98,7 +114,7 @@
       registers: [],
       collect () {
         this.reset()
-        for (const { name, restarts } of source.components()) this.inc({ component: name }, restarts)
+        for (const { name, restarts } of components()) this.inc({ component: name }, restarts)
       }
     }))
   }
--- a/packages/daemon/src/core/serviceHost.ts
+++ b/packages/daemon/src/core/serviceHost.ts
@@ -24,6 +24,16 @@
   readonly createDispatcher: (port: DispatchPort) => Dispatcher
   /** Called when a request is marked as suspect. */
   readonly onSuspects: () => void
+  /** Hears of every decision that touches a call; undefined where nobody listens. */
+  readonly observer?: CallObserver
+}
+
+/** Hears of the decisions that touch calls. */
+export interface CallObserver {
+  onAttempt (call: CallRun, attempt: Attempt): void
+  onAttemptEnd (call: CallRun, run: AttemptRun, end: AttemptEnd, tookMs: Milliseconds): void
+  onCancel (call: CallRun, run: AttemptRun, reason: CancelReason, tookMs: Milliseconds): void
+  onResult (call: CallRun, result: CallResult, tookMs: Milliseconds): void
 }
 
 /** An attempt under way with what is needed to end it. */
@@ -137,6 +147,7 @@
     const request = call.nextAttempt(attempt.upstreamId, attempt.deadlineAt, now)
     const run = AttemptRun.create({ attemptId: attempt.id, callId: attempt.callId, connection, request, observer: this, clock, dialect })
     this.attempts.set(attempt.id, { run, connections, startedAt: now })
+    this.options.observer?.onAttempt(call, attempt)
     if (run.isUploading) this.uploading.add(run)
     run.start()
   }
@@ -145,6 +156,8 @@
     const attempt = this.attempts.get(attemptId)
     if (attempt === undefined) return
     this.counters.countCancel(reason)
+    const call = this.calls.get(attempt.run.callId)
+    if (call !== undefined) this.options.observer?.onCancel(call, attempt.run, reason, this.clock.now() - attempt.startedAt)
     if (reason === 'stalled') attempt.connections.closeUnproven(attempt.startedAt)
     attempt.run.cancel()
   }
@@ -154,6 +167,7 @@
     const call = this.calls.get(callId)
     if (call === undefined) return
     this.calls.delete(callId)
+    this.options.observer?.onResult(call, result, this.clock.now() - call.call.arrivedAt)
     call.finish(result, this.endingAttempt?.heldResponse)
   }
 
@@ -213,6 +227,10 @@
     if (run.neverSent) attempt?.connections.abandon(run.connection)
     else attempt?.connections.release(run.connection)
     this.counters.countEnd(end.kind)
+    const call = this.calls.get(run.callId)
+    if (call !== undefined && attempt !== undefined) {
+      this.options.observer?.onAttemptEnd(call, run, end, this.clock.now() - attempt.startedAt)
+    }
     // The dispatcher may cancel other attempts of the call meanwhile, whose ends nest in this one.
     const outer = this.endingAttempt
     this.endingAttempt = run
--- a/packages/daemon/src/types/gatewaySettings.ts
+++ b/packages/daemon/src/types/gatewaySettings.ts
@@ -19,10 +19,8 @@
   /** Where the balancer asks for readiness. */
   readonly readinessAddress: string
   readonly readinessPath: string
-  /** Where peers and the metrics collector connect. */
-  readonly privateAddress: string
-  /** Private addresses of some peers; they may be stale. */
-  readonly seeds: readonly string[]
+  /** Where operators and the metrics collector connect. */
+  readonly adminAddress: string
   /** Time between SIGTERM and SIGKILL. */
   readonly graceMs: Milliseconds
   /** Time after the registry's return in which live upstreams renew entries that lapsed. */
