--- a/packages/core/__tests__/waitQueue.test.ts
+++ b/packages/core/__tests__/waitQueue.test.ts
@@ -89,6 +89,6 @@
   it('refuses with noUpstream when no upstream takes new work', () => {
     const harness = Harness.create(0)
     const id = harness.submit()
-    expect(harness.results.get(id)).to.deep.equal({ kind: 'notRun', code: 'noUpstream', retryAfterMs: 200 / 3 })
+    expect(harness.results.get(id)).to.deep.equal({ kind: 'notRun', code: 'noUpstream', retryAfterMs: 200 * (1 / 3) })
   })
 })
--- /dev/null
+++ b/packages/daemon/__tests__/tableReader.test.ts
@@ -0,0 +1,95 @@
+import { expect } from 'chai'
+import { Result } from 'true-myth/result'
+import { MonotonicClock } from '../src/core/gateway/monotonicClock.js'
+import { TableReader, type TableConsumer } from '../src/core/gateway/tableReader.js'
+import type { ControlStore, StoreFailure, StoreResult, TableChanges, TablePage } from '../src/types/controlStore.js'
+import { sleep } from '../src/utils/sleep.js'
+
+type Step =
+  | { readonly newest: TablePage | StoreFailure }
+  | { readonly changes: TableChanges | StoreFailure }
+
+/** A store that answers by a script; the last step is answered with `unanswered` from then on. */
+class ScriptedStore implements ControlStore {
+  readonly calls: string[] = []
+
+  constructor (private readonly steps: Step[]) {}
+
+  async newest (_table: string, after?: string): Promise<StoreResult<TablePage>> {
+    this.calls.push(`newest ${after ?? ''}`.trim())
+    const step = this.steps.shift()
+    return answer(step !== undefined && 'newest' in step ? step.newest : 'unanswered')
+  }
+
+  async changes (_table: string, from: number): Promise<StoreResult<TableChanges>> {
+    this.calls.push(`changes ${from}`)
+    const step = this.steps.shift()
+    return answer(step !== undefined && 'changes' in step ? step.changes : 'unanswered')
+  }
+
+  decodeRoutes (): undefined {}
+
+  decodeUpstream (): undefined {}
+
+  close (): void {}
+}
+
+function answer<Value extends object> (value: Value | StoreFailure): StoreResult<Value> {
+  return typeof value === 'string' ? Result.err(value) : Result.ok(value)
+}
+
+function record (key: string): { key: string, value: Buffer } {
+  return { key, value: Buffer.from(key) }
+}
+
+async function follow (steps: Step[]): Promise<{ calls: string[], events: string[] }> {
+  const store = new ScriptedStore(steps)
+  const events: string[] = []
+  const consumer: TableConsumer = {
+    onSnapshot: records => events.push(`snapshot ${records.map(({ key }) => key).join()}`),
+    onChanges: records => events.push(`changes ${records.map(({ key }) => key).join()}`),
+    onReturn: () => events.push('return'),
+    onFailure: failure => events.push(failure)
+  }
+  const reader = TableReader.create({ store, table: 'upstreams', consumer, clock: MonotonicClock.create(), waitMs: 0, pauseMs: 0 })
+  const expectedCalls = steps.length + 1
+  reader.start()
+  while (store.calls.length < expectedCalls) await sleep(1)
+  reader.stop()
+  return { calls: store.calls, events }
+}
+
+describe('reader of a table', () => {
+  // Guards against changes that are missed between the pages of a snapshot.
+  it('reads all pages and then the changes from the end of the first one', async () => {
+    const { calls, events } = await follow([
+      { newest: { records: [record('a')], nextAfter: 'a', end: 7 } },
+      { newest: { records: [record('b')], nextAfter: undefined, end: 9 } },
+      { changes: { records: [record('c')], end: 8 } },
+      { changes: { records: [], end: 8 } }
+    ])
+    expect(calls.slice(0, 4)).to.deep.equal(['newest', 'newest a', 'changes 7', 'changes 8'])
+    expect(events.slice(0, 2)).to.deep.equal(['snapshot a,b', 'changes c'])
+  })
+
+  // Guards against a reader that goes on after changes that the store no longer has.
+  it('takes a new snapshot where the changes have expired', async () => {
+    const { events } = await follow([
+      { newest: { records: [record('a')], nextAfter: undefined, end: 7 } },
+      { changes: 'expired' },
+      { newest: { records: [record('b')], nextAfter: undefined, end: 90 } }
+    ])
+    expect(events.slice(0, 2)).to.deep.equal(['snapshot a', 'snapshot b'])
+  })
+
+  // Guards against content that is taken before the consumer knows that there was an outage.
+  it('reports an outage once and its end before the content', async () => {
+    const { events } = await follow([
+      { newest: { records: [record('a')], nextAfter: undefined, end: 7 } },
+      { changes: 'unanswered' },
+      { changes: 'refused' },
+      { changes: { records: [record('c')], end: 8 } }
+    ])
+    expect(events.slice(0, 4)).to.deep.equal(['snapshot a', 'unanswered', 'return', 'changes c'])
+  })
+})
--- a/packages/daemon/src/core/gateway/callerServer.ts
+++ b/packages/daemon/src/core/gateway/callerServer.ts
@@ -1,5 +1,5 @@
 import { createServer, type Server } from 'node:http'
-import { Server as NetServer, type Socket } from 'node:net'
+import { Server as NetServer, type AddressInfo, type Socket } from 'node:net'
 import type { CallerLimits } from '@cowsliplead/core/types/routes.js'
 import { splitAddress } from '../../utils/address.js'
 import type { Proxy } from '../proxy.js'
@@ -39,6 +39,11 @@
     })
   }
 
+  /** The port that the server listens on. */
+  get port (): number {
+    return (this.server.address() as AddressInfo).port
+  }
+
   /** Takes over limits of a new configuration. */
   applyLimits (): void {
     const limits = this.limits()
--- a/packages/daemon/src/core/gateway/gateway.ts
+++ b/packages/daemon/src/core/gateway/gateway.ts
@@ -9,6 +9,7 @@
 import { RequestIds } from '../requestIds.js'
 import { TickTimer } from '../tickTimer.js'
 import { AdminServer } from './adminServer.js'
+import type { BoundedOutput } from './boundedOutput.js'
 import { CallLog } from './callLog.js'
 import { CallerServer } from './callerServer.js'
 import { ControlState } from './controlState.js'
@@ -36,6 +37,8 @@
 export interface GatewayPeripherals {
   readonly store: ControlStore
   readonly dialect: Dialect
+  /** Where the log goes; standard output where absent. */
+  readonly output?: BoundedOutput
 }
 
 /** One entry VM's daemon: takes requests of callers to upstreams. */
@@ -55,7 +58,7 @@
   private constructor (private settings: GatewaySettings, private readonly peripherals: GatewayPeripherals) {
     const { clock, tickTimer } = this
     const { store, dialect } = peripherals
-    const log = EventLog.create(settings.vmId, clock)
+    const log = EventLog.create(settings.vmId, clock, peripherals.output)
     const metrics = this.createMetrics(log)
     const latencies = metrics.createLatencyHistogram()
     this.log = log
@@ -83,6 +86,11 @@
     return new Gateway(settings, peripherals)
   }
 
+  /** The port for callers. */
+  get publicPort (): number {
+    return this.callerServer.port
+  }
+
   /** Starts to read the control store and to serve. */
   async start (): Promise<void> {
     const { services, settings, log: { journal } } = this
@@ -134,7 +142,8 @@
     this.tickTimer.stop()
   }
 
-  private unreadyReasons (): readonly string[] {
+  /** What keeps the daemon from being ready; empty when it is ready. */
+  unreadyReasons (): readonly string[] {
     return this.isStopping ? ['stopping'] : this.control.missing()
   }
 
