Go on asking upstreams for a held call until one with a free slot is found

Cause: a held call asked its three best upstreams once in 50 ms and waited although others, whose reports were old, had free slots. A first empty list of upstreams no longer makes all look new after a restart. The result line tells how many calls wait.

--- a/packages/core/__tests__/loadProbes.test.ts
+++ b/packages/core/__tests__/loadProbes.test.ts
@@ -61,6 +61,23 @@
     expect(poor.attemptOf(id).purpose).to.equal('first')
   })
 
+  // Guards against a call that waits although an upstream that was not asked yet has a free slot.
+  it('asks further upstreams while those that were asked are full', () => {
+    const harness = createProbing(12, { usableSlotShare: 0.8, queueAllowanceCalls: 0, holdShare: 0, holdExcessPerSlot: 0.15 })
+    const first = harness.submit(FEE)
+    answerProbes(harness)
+    expect(harness.attemptOf(first).purpose).to.equal('first')
+    harness.advance(60)
+    const id = harness.submit(FEE)
+    const free = 'u010'
+    for (let rounds = 0; rounds < 6 && harness.started.length < 2; rounds++) {
+      for (const upstream of harness.probes.splice(0)) {
+        harness.dispatcher.onProbeReport(upstream, harness.report({ slots: 4, inFlight: upstream === free ? 0 : 4, queued: upstream === free ? 0 : 4 }))
+      }
+    }
+    expect(harness.attemptOf(id).upstreamId).to.equal(free)
+  })
+
   // Guards against a call that is sent although its caller has left while it waited for probes.
   it('drops a call whose caller leaves meanwhile', () => {
     const harness = createProbing(2)
--- a/packages/core/src/core/callEngine.ts
+++ b/packages/core/src/core/callEngine.ts
@@ -253,7 +253,7 @@
     if (state === undefined) return false
     if (this.isHeldAsSuspect(state)) return true
     const choice = chooseUpstream(context, state, 'first')
-    if (choice?.isTrial !== true && this.probes.begin(state)) {
+    if (choice?.isTrial !== true && this.probes.begin(state, choice !== undefined)) {
       this.leavePlace(state)
       state.place = 'probing'
       return true
--- a/packages/core/src/core/dispatcher.ts
+++ b/packages/core/src/core/dispatcher.ts
@@ -67,6 +67,11 @@
     this.context.suspects.importMarks(marks, this.context.clock.now())
   }
 
+  /** Calls that wait for an upstream. */
+  get waitingCalls (): number {
+    return this.engine.waitingCalls
+  }
+
   /** A caller's call arrived. Its result comes through `DispatchPort.finishCall`, possibly before this returns. */
   submit (call: Call): void {
     this.engine.submit(call)
--- a/packages/core/src/core/loadProbes.ts
+++ b/packages/core/src/core/loadProbes.ts
@@ -27,11 +27,15 @@
     return this.waiting.size
   }
 
-  /** Returns whether the call has to wait for probes. */
-  begin (state: CallState): boolean {
+  /**
+   * Returns whether the call has to wait for probes. A call for which no upstream with room is known goes on asking
+   * until one is found or all reports are fresh; others ask once.
+   */
+  begin (state: CallState, isRoomKnown: boolean): boolean {
     const { policy, clock, timers } = this.context
     const now = clock.now()
-    if (policy.probeUpstreams === 0 || now - state.probedAt < policy.probeReportAgeMs) return false
+    if (policy.probeUpstreams === 0) return false
+    if (isRoomKnown && now - state.probedAt < policy.probeReportAgeMs) return false
     const upstreams = new Set(this.targetsFor(state).filter(upstream => this.isProbed(upstream)))
     if (upstreams.size === 0) return false
     state.probedAt = now
--- a/packages/daemon/src/core/gateway/callLog.ts
+++ b/packages/daemon/src/core/gateway/callLog.ts
@@ -41,11 +41,11 @@
     })
   }
 
-  onResult (call: CallRun, result: CallResult, tookMs: Milliseconds): void {
+  onResult (call: CallRun, result: CallResult, tookMs: Milliseconds, waitingCalls: number): void {
     const outcome = 'code' in result ? result.code : result.kind
     this.latencies.observe({ service: this.service, result: result.kind }, tookMs / 1000)
     this.log.request('result', {
-      request: call.requestId, service: this.service, route: call.call.kind.name, outcome, tookMs: round(tookMs),
+      request: call.requestId, service: this.service, route: call.call.kind.name, outcome, tookMs: round(tookMs), waitingCalls,
       attempt: result.kind === 'delivered' ? result.attemptId : undefined,
       retryAfterMs: 'retryAfterMs' in result ? round(result.retryAfterMs ?? 0) : undefined
     })
--- a/packages/daemon/src/core/gateway/controlState.ts
+++ b/packages/daemon/src/core/gateway/controlState.ts
@@ -124,7 +124,6 @@
   private applyConfig (config: RouteConfig, previous: number | undefined): void {
     const { services, journal, onConfig } = this.options
     services.setConfig(config)
-    services.setUpstreams(this.directory.list())
     onConfig()
     journal.info('configuration in force', { version: config.version, previous, routes: config.routes.length, services: config.services.size })
   }
--- a/packages/daemon/src/core/gateway/gatewayServices.ts
+++ b/packages/daemon/src/core/gateway/gatewayServices.ts
@@ -38,7 +38,8 @@
   private table: RouteTable | undefined
   private readonly kinds = new Map<Route, RequestKind>()
   private readonly hosts = new Map<string, ServiceHost>()
-  private upstreams: readonly Upstream[] = []
+  /** Undefined until the upstreams were read; an empty first list would make the real ones look newly started. */
+  private upstreams: readonly Upstream[] | undefined
   /** Hosts of services that no configuration names any more, until their last call ends. */
   private retired: ServiceHost[] = []
 
@@ -126,6 +127,7 @@
   }
 
   private updateUpstreams (host: ServiceHost): void {
+    if (this.upstreams === undefined) return
     const own = this.upstreams.filter(({ service }) => service === host.service)
     host.setUpstreams(own, SOLE_RANK, SOLE_COUNT)
   }
--- a/packages/daemon/src/core/serviceHost.ts
+++ b/packages/daemon/src/core/serviceHost.ts
@@ -33,7 +33,7 @@
   onAttempt (call: CallRun, attempt: Attempt): void
   onAttemptEnd (call: CallRun, run: AttemptRun, end: AttemptEnd, tookMs: Milliseconds): void
   onCancel (call: CallRun, run: AttemptRun, reason: CancelReason, tookMs: Milliseconds): void
-  onResult (call: CallRun, result: CallResult, tookMs: Milliseconds): void
+  onResult (call: CallRun, result: CallResult, tookMs: Milliseconds, waitingCalls: number): void
 }
 
 /** An attempt under way with what is needed to end it. */
@@ -167,7 +167,7 @@
     const call = this.calls.get(callId)
     if (call === undefined) return
     this.calls.delete(callId)
-    this.options.observer?.onResult(call, result, this.clock.now() - call.call.arrivedAt)
+    this.options.observer?.onResult(call, result, this.clock.now() - call.call.arrivedAt, this.dispatcher.waitingCalls)
     call.finish(result, this.endingAttempt?.heldResponse)
   }
 
