--- a/packages/bench/src/core/capacity/keyedCost.ts
+++ b/packages/bench/src/core/capacity/keyedCost.ts
@@ -1,4 +1,4 @@
-import { ClaimLog } from '@cowsliplead/core/core/claimLog.js'
+import { ClaimLog } from '@cowsliplead/core/core/keyed/claimLog.js'
 import type { ClaimsRecord } from '@cowsliplead/core/types/keyedRecords.js'
 import { KEYED_TIMING } from '@cowsliplead/core/types/keyedTiming.js'
 import type { Measurement } from '../../types/capacity.js'
--- a/packages/bench/src/core/capacity/keyedFleet.ts
+++ b/packages/bench/src/core/capacity/keyedFleet.ts
@@ -1,4 +1,4 @@
-import { KeyedCalls } from '@cowsliplead/core/core/keyedCalls.js'
+import { KeyedCalls } from '@cowsliplead/core/core/keyed/keyedCalls.js'
 import { FakeClock } from '@cowsliplead/core/types/clock.js'
 import { keyedCallSettingsSchema, type KeyedCallSettings } from '@cowsliplead/core/types/configDocument.js'
 import type { KeyedAttempt } from '@cowsliplead/core/types/keyedCall.js'
--- a/packages/bench/src/core/capacity/membershipCost.ts
+++ b/packages/bench/src/core/capacity/membershipCost.ts
@@ -1,4 +1,4 @@
-import { EXCHANGE_EVERY_MS, Membership } from '@cowsliplead/core/core/membership.js'
+import { EXCHANGE_EVERY_MS, Membership } from '@cowsliplead/core/core/membership/membership.js'
 import { FakeClock } from '@cowsliplead/core/types/clock.js'
 import { MAX_EXCHANGE_ENTRIES } from '@cowsliplead/core/types/exchange.js'
 import { vmIdOf } from '@cowsliplead/core/types/member.js'
--- a/packages/bench/src/core/capacity/serviceLoad.ts
+++ b/packages/bench/src/core/capacity/serviceLoad.ts
@@ -1,5 +1,5 @@
-import { Dispatcher } from '@cowsliplead/core/core/dispatcher.js'
-import { ExpectedDelayPicker } from '@cowsliplead/core/core/expectedDelayPicker.js'
+import { Dispatcher } from '@cowsliplead/core/core/dispatch/dispatcher.js'
+import { ExpectedDelayPicker } from '@cowsliplead/core/core/routing/expectedDelayPicker.js'
 import type { FakeClock } from '@cowsliplead/core/types/clock.js'
 import type { Attempt, DispatchPort } from '@cowsliplead/core/types/dispatch.js'
 import { SeededRandom } from '@cowsliplead/core/types/randomSource.js'
--- a/packages/bench/src/core/decisions/dispatcherFleet.ts
+++ b/packages/bench/src/core/decisions/dispatcherFleet.ts
@@ -1,4 +1,4 @@
-import { Dispatcher } from '@cowsliplead/core/core/dispatcher.js'
+import { Dispatcher } from '@cowsliplead/core/core/dispatch/dispatcher.js'
 import type { Attempt, AttemptEnd, CallResult, DispatchPort } from '@cowsliplead/core/types/dispatch.js'
 import { SeededRandom } from '@cowsliplead/core/types/randomSource.js'
 import type { SuspectMark } from '@cowsliplead/core/types/suspectMark.js'
--- a/packages/bench/src/core/decisions/policies.ts
+++ b/packages/bench/src/core/decisions/policies.ts
@@ -1,5 +1,5 @@
-import { ExpectedDelayPicker } from '@cowsliplead/core/core/expectedDelayPicker.js'
-import { SlotSharePicker } from '@cowsliplead/core/core/slotSharePicker.js'
+import { ExpectedDelayPicker } from '@cowsliplead/core/core/routing/expectedDelayPicker.js'
+import { SlotSharePicker } from '@cowsliplead/core/core/routing/slotSharePicker.js'
 import type { Picker } from '@cowsliplead/core/types/picker.js'
 import { DEFAULT_ROUTING_POLICY, type RoutingPolicy } from '@cowsliplead/core/types/routingPolicy.js'
 import { LeastLocalPicker } from '../pickers/leastLocalPicker.js'
--- a/packages/cli/__tests__/fakeDaemon.ts
+++ b/packages/cli/__tests__/fakeDaemon.ts
@@ -1,6 +1,6 @@
 import type { AddressInfo } from 'node:net'
 import { createHTTPServer } from '@trpc/server/adapters/standalone'
-import { createRouter } from '@cowsliplead/daemon/core/router.js'
+import { createRouter } from '@cowsliplead/daemon/core/operators/router.js'
 import type { PrivateApi } from '@cowsliplead/daemon/types/privateApi.js'
 import { SHARED_KEY_HEADER } from '@cowsliplead/daemon/utils/sharedKey.js'
 
--- a/packages/core/__tests__/configDocument.test.ts
+++ b/packages/core/__tests__/configDocument.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai'
-import { findSettings } from '../src/core/effectiveSettings.js'
-import { RequestMatcher } from '../src/core/requestMatcher.js'
+import { findSettings } from '../src/core/configuration/effectiveSettings.js'
+import { RequestMatcher } from '../src/core/routing/requestMatcher.js'
 import { configDocumentSchema, describeIssues } from '../src/types/configDocument.js'
 
 const LOOKUP = { method: 'GET', path: '/permits/:id', weight: 1, idempotent: true, deadlineMs: 200, cancellable: true, hedgeable: true }
--- a/packages/core/__tests__/configState.test.ts
+++ b/packages/core/__tests__/configState.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai'
-import { ConfigState } from '../src/core/configState.js'
+import { ConfigState } from '../src/core/configuration/configState.js'
 import { FakeClock } from '../src/types/clock.js'
 import { CONFIG_RECORD_VERSION, createChange } from '../src/types/configRecords.js'
 import type { LogRecord } from '../src/types/logRecord.js'
--- a/packages/core/__tests__/dispatcherHarness.ts
+++ b/packages/core/__tests__/dispatcherHarness.ts
@@ -1,5 +1,5 @@
-import { Dispatcher } from '../src/core/dispatcher.js'
-import { ExpectedDelayPicker } from '../src/core/expectedDelayPicker.js'
+import { Dispatcher } from '../src/core/dispatch/dispatcher.js'
+import { ExpectedDelayPicker } from '../src/core/routing/expectedDelayPicker.js'
 import { FakeClock } from '../src/types/clock.js'
 import type { Attempt, AttemptEnd, Call, CallResult, CancelReason } from '../src/types/dispatch.js'
 import type { Picker } from '../src/types/picker.js'
--- a/packages/core/__tests__/faults/schedule.ts
+++ b/packages/core/__tests__/faults/schedule.ts
@@ -1,4 +1,4 @@
-import { ConfigState } from '../../src/core/configState.js'
+import { ConfigState } from '../../src/core/configuration/configState.js'
 import type { FakeVm } from './fakeVm.js'
 import { SHORT_TIMING, World, type WorldOptions } from './world.js'
 
--- a/packages/core/__tests__/faults/variants.ts
+++ b/packages/core/__tests__/faults/variants.ts
@@ -1,7 +1,7 @@
-import { ClaimTable } from '../../src/core/claimTable.js'
-import { ConfigState } from '../../src/core/configState.js'
-import { PartitionRecovery } from '../../src/core/partitionRecovery.js'
-import { WitnessTable } from '../../src/core/witnessTable.js'
+import { ClaimTable } from '../../src/core/keyed/claimTable.js'
+import { ConfigState } from '../../src/core/configuration/configState.js'
+import { PartitionRecovery } from '../../src/core/keyed/partitionRecovery.js'
+import { WitnessTable } from '../../src/core/keyed/witnessTable.js'
 import { SHORT_TIMING, type WorldOptions } from './world.js'
 
 /** A deliberately broken version of the code under test. */
--- a/packages/core/__tests__/keyedCalls.test.ts
+++ b/packages/core/__tests__/keyedCalls.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai'
-import { KeyedCalls } from '../src/core/keyedCalls.js'
+import { KeyedCalls } from '../src/core/keyed/keyedCalls.js'
 import { FakeClock } from '../src/types/clock.js'
 import { keyedCallSettingsSchema, type KeyedCallSettings } from '../src/types/configDocument.js'
 import type { KeyedAttempt, KeyedResponse, KeyedResult, WitnessRequest } from '../src/types/keyedCall.js'
--- a/packages/core/__tests__/loadProbes.test.ts
+++ b/packages/core/__tests__/loadProbes.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai'
-import { Dispatcher } from '../src/core/dispatcher.js'
-import { ExpectedDelayPicker } from '../src/core/expectedDelayPicker.js'
+import { Dispatcher } from '../src/core/dispatch/dispatcher.js'
+import { ExpectedDelayPicker } from '../src/core/routing/expectedDelayPicker.js'
 import { DEFAULT_ROUTING_POLICY, type RoutingPolicy } from '../src/types/routingPolicy.js'
 import { FEE, Harness, LOOKUP, upstreams } from './dispatcherHarness.js'
 import { SeededRandom } from '../src/types/randomSource.js'
--- a/packages/core/__tests__/membership.test.ts
+++ b/packages/core/__tests__/membership.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai'
-import { DRAINING_MS, EXCHANGE_EVERY_MS, FAN_OUT, Membership, SILENT_AFTER_MS } from '../src/core/membership.js'
+import { DRAINING_MS, EXCHANGE_EVERY_MS, FAN_OUT, Membership, SILENT_AFTER_MS } from '../src/core/membership/membership.js'
 import { FakeClock } from '../src/types/clock.js'
 import { MAX_EXCHANGE_ENTRIES } from '../src/types/exchange.js'
 import { memberOf, type VmListView } from '../src/types/member.js'
--- a/packages/core/__tests__/ownership.test.ts
+++ b/packages/core/__tests__/ownership.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai'
-import { Ownership } from '../src/core/ownership.js'
+import { Ownership } from '../src/core/keyed/ownership.js'
 import { KEYED_TIMING } from '../src/types/keyedTiming.js'
 import type { WitnessEntry } from '../src/types/keyedRecords.js'
 
--- a/packages/core/__tests__/policyExceptions.test.ts
+++ b/packages/core/__tests__/policyExceptions.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai'
-import { findPolicyExceptions } from '../src/core/effectiveSettings.js'
+import { findPolicyExceptions } from '../src/core/configuration/effectiveSettings.js'
 import { configDocumentSchema } from '../src/types/configDocument.js'
 import {
   DEFAULT_ROUTING_POLICY, KIND_SETTING_NAMES, UPSTREAM_SETTING_NAMES, type PolicyExceptions, type RoutingPolicy
--- a/packages/core/__tests__/waitQueue.test.ts
+++ b/packages/core/__tests__/waitQueue.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai'
-import { createCallState, type CallState } from '../src/core/callState.js'
-import { WaitQueue } from '../src/core/waitQueue.js'
+import { createCallState, type CallState } from '../src/core/dispatch/callState.js'
+import { WaitQueue } from '../src/core/limits/waitQueue.js'
 import type { RequestKind } from '../src/types/requestKind.js'
 import { DEFAULT_ROUTING_POLICY } from '../src/types/routingPolicy.js'
 import { FEE, Harness, LOOKUP } from './dispatcherHarness.js'
--- a/packages/core/src/core/configState.ts
+++ b/packages/core/src/core/configuration/configState.ts
@@ -1,11 +1,11 @@
-import { configDocumentSchema, describeIssues, type ConfigDocument } from '../types/configDocument.js'
+import { configDocumentSchema, describeIssues, type ConfigDocument } from '../../types/configDocument.js'
 import {
   CONFIG_RECORD_VERSION, changeSchema, checkpointSchema, rebaseSchema, snapshotSchema,
   type AppliedChange, type ChangeRecord, type ChangeVerdict, type CheckpointRecord, type ConfigSnapshot, type RebaseRecord
-} from '../types/configRecords.js'
-import type { Clock, Milliseconds } from '../types/clock.js'
-import type { LogRecord } from '../types/logRecord.js'
-import { parseJson } from '../utils/parseJson.js'
+} from '../../types/configRecords.js'
+import type { Clock, Milliseconds } from '../../types/clock.js'
+import type { LogRecord } from '../../types/logRecord.js'
+import { parseJson } from '../../utils/parseJson.js'
 
 /** Applied changes that a state carries, to recognise repeated ids and to name winners; some 2 h at design scale, about 40 KB. */
 const MAX_CARRIED_CHANGES = 500
--- a/packages/core/src/core/effectiveSettings.ts
+++ b/packages/core/src/core/configuration/effectiveSettings.ts
@@ -1,5 +1,5 @@
-import type { ConfigDocument, ConfigException, Settings } from '../types/configDocument.js'
-import { DEFAULT_ROUTING_POLICY, type PolicyExceptions, type RoutingPolicy } from '../types/routingPolicy.js'
+import type { ConfigDocument, ConfigException, Settings } from '../../types/configDocument.js'
+import { DEFAULT_ROUTING_POLICY, type PolicyExceptions, type RoutingPolicy } from '../../types/routingPolicy.js'
 
 /** What a lookup of settings is about; parts that do not apply are left out. */
 export interface SettingsTarget {
--- a/packages/core/src/core/attemptEnds.ts
+++ b/packages/core/src/core/dispatch/attemptEnds.ts
@@ -1,5 +1,5 @@
-import type { AttemptEnd, CallResult } from '../types/dispatch.js'
-import { RESULT_CODES, type ResultCodeName } from '../types/resultCode.js'
+import type { AttemptEnd, CallResult } from '../../types/dispatch.js'
+import { RESULT_CODES, type ResultCodeName } from '../../types/resultCode.js'
 import type { CallState } from './callState.js'
 
 const CODES: Record<AttemptEnd['kind'], ResultCodeName> = {
--- a/packages/core/src/core/attemptOutcomes.ts
+++ b/packages/core/src/core/dispatch/attemptOutcomes.ts
@@ -1,13 +1,13 @@
-import type { Milliseconds } from '../types/clock.js'
-import type { AttemptEnd } from '../types/dispatch.js'
-import type { LoadReport } from '../types/upstream.js'
+import type { Milliseconds } from '../../types/clock.js'
+import type { AttemptEnd } from '../../types/dispatch.js'
+import type { LoadReport } from '../../types/upstream.js'
 import { codeOfEnd, isUpstreamFailure, resultWithoutAnswer } from './attemptEnds.js'
 import type { CallEngine } from './callEngine.js'
 import type { AttemptState, CallState } from './callState.js'
-import { isCandidate, noteCrash } from './crashes.js'
-import { judgeLatency, judgeReport } from './reportTrust.js'
+import { isCandidate, noteCrash } from '../health/crashes.js'
+import { judgeLatency, judgeReport } from '../routing/reportTrust.js'
 import type { RoutingContext } from './routingContext.js'
-import type { UpstreamState } from './upstreamState.js'
+import type { UpstreamState } from '../health/upstreamState.js'
 
 const LONGEST_BACK_OFF_MS = 50
 
--- a/packages/core/src/core/attemptWatch.ts
+++ b/packages/core/src/core/dispatch/attemptWatch.ts
@@ -1,6 +1,6 @@
-import type { Milliseconds } from '../types/clock.js'
+import type { Milliseconds } from '../../types/clock.js'
 import { resultWithoutAnswer } from './attemptEnds.js'
-import type { CallEngine } from './callEngine.js'
+import type { AttemptControl } from './attemptControl.js'
 import type { AttemptState } from './callState.js'
 import type { RoutingContext } from './routingContext.js'
 
@@ -13,9 +13,9 @@
 
 /** Watches attempts for hedging and for connections that went silent. */
 export class AttemptWatch {
-  private constructor (private readonly context: RoutingContext, private readonly engine: CallEngine) {}
+  private constructor (private readonly context: RoutingContext, private readonly engine: AttemptControl) {}
 
-  static create (context: RoutingContext, engine: CallEngine): AttemptWatch {
+  static create (context: RoutingContext, engine: AttemptControl): AttemptWatch {
     return new AttemptWatch(context, engine)
   }
 
--- a/packages/core/src/core/callEngine.ts
+++ b/packages/core/src/core/dispatch/callEngine.ts
@@ -1,22 +1,23 @@
-import type { Milliseconds } from '../types/clock.js'
-import type { AttemptBasis, AttemptPurpose, Call, CallResult, CancelReason } from '../types/dispatch.js'
-import type { ResultCodeName } from '../types/resultCode.js'
-import type { Timer } from '../utils/timerQueue.js'
-import { latestStartAt, refusalOnArrival } from './admission.js'
+import type { Milliseconds } from '../../types/clock.js'
+import type { AttemptBasis, AttemptPurpose, Call, CallResult, CancelReason } from '../../types/dispatch.js'
+import type { ResultCodeName } from '../../types/resultCode.js'
+import type { Timer } from '../../utils/timerQueue.js'
+import { latestStartAt, refusalOnArrival } from '../limits/admission.js'
 import { isRepeatable, resultWithoutAnswer } from './attemptEnds.js'
 import { learnFromCancel } from './cancelLessons.js'
+import type { AttemptControl } from './attemptControl.js'
 import { AttemptWatch } from './attemptWatch.js'
 import { createCallState, type AttemptState, type CallState } from './callState.js'
 import { countResult } from './dispatchCounters.js'
-import { LoadProbes } from './loadProbes.js'
+import { LoadProbes } from '../routing/loadProbes.js'
 import { ParkedCalls } from './parkedCalls.js'
-import { withRetryAfter } from './retryAfter.js'
+import { withRetryAfter } from '../limits/retryAfter.js'
 import type { RoutingContext } from './routingContext.js'
-import type { UpstreamState } from './upstreamState.js'
-import { chooseUpstream, type Choice } from './upstreamChoice.js'
+import type { UpstreamState } from '../health/upstreamState.js'
+import { chooseUpstream, type Choice } from '../routing/upstreamChoice.js'
 
 /** Moves calls between waiting, running and finished. */
-export class CallEngine {
+export class CallEngine implements AttemptControl {
   readonly attempts = new Map<number, AttemptState>()
   private readonly calls = new Map<number, CallState>()
   private readonly retries: CallState[] = []
--- a/packages/core/src/core/callState.ts
+++ b/packages/core/src/core/dispatch/callState.ts
@@ -1,8 +1,9 @@
-import type { Milliseconds } from '../types/clock.js'
-import type { Attempt, Call } from '../types/dispatch.js'
-import type { ResultCodeName } from '../types/resultCode.js'
-import type { Timer } from '../utils/timerQueue.js'
-import type { UpstreamState } from './upstreamState.js'
+import type { Milliseconds } from '../../types/clock.js'
+import type { Attempt, Call } from '../../types/dispatch.js'
+import type { ResultCodeName } from '../../types/resultCode.js'
+import type { Timer } from '../../utils/timerQueue.js'
+import type { RunningAttempt } from '../health/runningAttempt.js'
+import type { UpstreamState } from '../health/upstreamState.js'
 
 /** Where a call is: `probing` calls wait for load probes, `parked` calls wait for the trial of a suspect request. */
 export type CallPlace = 'new' | 'queued' | 'probing' | 'awaitingRetry' | 'parked' | 'running' | 'finished'
@@ -30,11 +31,10 @@
 }
 
 /** An attempt under way. */
-export interface AttemptState {
+export interface AttemptState extends RunningAttempt {
   readonly attempt: Attempt
   readonly owner: CallState
   readonly state: UpstreamState
-  readonly startedAt: Milliseconds
   /** Wait for a slot that was predicted at the start. */
   readonly predictedWaitMs: Milliseconds
   /** The same if the report is taken at its word. */
@@ -44,8 +44,6 @@
   progressAt: Milliseconds
   timer: Timer | undefined
   readonly isTrial: boolean
-  /** The request was already suspected of crashing upstreams when the attempt started. */
-  readonly isSuspect: boolean
   /** Set once the host was told to discard the response; it must not be delivered afterwards. */
   isDiscarded: boolean
 }
--- a/packages/core/src/core/cancelLessons.ts
+++ b/packages/core/src/core/dispatch/cancelLessons.ts
@@ -1,4 +1,4 @@
-import type { CancelReason } from '../types/dispatch.js'
+import type { CancelReason } from '../../types/dispatch.js'
 import type { AttemptState } from './callState.js'
 import type { RoutingContext } from './routingContext.js'
 
--- a/packages/core/src/core/dispatchCounters.ts
+++ b/packages/core/src/core/dispatch/dispatchCounters.ts
@@ -1,6 +1,6 @@
-import type { CallResult } from '../types/dispatch.js'
-import type { DispatchCounters } from '../types/dispatcherSnapshot.js'
-import type { ResultCodeName } from '../types/resultCode.js'
+import type { CallResult } from '../../types/dispatch.js'
+import type { DispatchCounters } from '../../types/dispatcherSnapshot.js'
+import type { ResultCodeName } from '../../types/resultCode.js'
 
 /** Mutable form of `DispatchCounters`. */
 export type Counters = { -readonly [Name in keyof DispatchCounters]: DispatchCounters[Name] }
--- a/packages/core/src/core/dispatcher.ts
+++ b/packages/core/src/core/dispatch/dispatcher.ts
@@ -1,15 +1,15 @@
-import type { Milliseconds } from '../types/clock.js'
-import type { AttemptEnd, Call } from '../types/dispatch.js'
-import type { DispatcherSnapshot } from '../types/dispatcherSnapshot.js'
-import { NO_POLICY_EXCEPTIONS, type PolicyExceptions, type RoutingPolicy } from '../types/routingPolicy.js'
-import type { LoadReport, Upstream } from '../types/upstream.js'
+import type { Milliseconds } from '../../types/clock.js'
+import type { AttemptEnd, Call } from '../../types/dispatch.js'
+import type { DispatcherSnapshot } from '../../types/dispatcherSnapshot.js'
+import { NO_POLICY_EXCEPTIONS, type PolicyExceptions, type RoutingPolicy } from '../../types/routingPolicy.js'
+import type { LoadReport, Upstream } from '../../types/upstream.js'
 import { AttemptOutcomes } from './attemptOutcomes.js'
 import { CallEngine } from './callEngine.js'
 import { RoutingContext, type DispatcherOptions } from './routingContext.js'
-import type { SuspectMark } from '../types/suspectMark.js'
+import type { SuspectMark } from '../../types/suspectMark.js'
 
 export type { DispatcherOptions } from './routingContext.js'
-export type { SuspectMark } from '../types/suspectMark.js'
+export type { SuspectMark } from '../../types/suspectMark.js'
 
 /** Routes the calls of one service on one entry VM. It does no I/O: the host carries out attempts and calls `tick`. */
 export class Dispatcher {
--- a/packages/core/src/core/crashes.ts
+++ b/packages/core/src/core/health/crashes.ts
@@ -1,5 +1,5 @@
-import type { Milliseconds } from '../types/clock.js'
-import type { AttemptState } from './callState.js'
+import type { Milliseconds } from '../../types/clock.js'
+import type { AttemptState } from '../dispatch/callState.js'
 
 /**
  * Takes note of an attempt that ended by a crash of its upstream. Returns true for the first attempt of a crash: all
--- a/packages/core/src/core/outlierDetector.ts
+++ b/packages/core/src/core/health/outlierDetector.ts
@@ -1,8 +1,8 @@
-import type { Milliseconds } from '../types/clock.js'
-import type { RoutingPolicy } from '../types/routingPolicy.js'
-import { keptShare } from '../utils/keptShare.js'
-import type { Counters } from './dispatchCounters.js'
-import type { ServiceModel } from './serviceModel.js'
+import type { Milliseconds } from '../../types/clock.js'
+import type { RoutingPolicy } from '../../types/routingPolicy.js'
+import { keptShare } from '../../utils/keptShare.js'
+import type { Counters } from '../dispatch/dispatchCounters.js'
+import type { ServiceModel } from '../routing/serviceModel.js'
 import type { UpstreamState } from './upstreamState.js'
 
 const ERROR_LEARNING_RATE = 0.2
--- a/packages/core/src/core/sharedMarks.ts
+++ b/packages/core/src/core/health/sharedMarks.ts
@@ -1,5 +1,5 @@
-import type { Clock, Milliseconds } from '../types/clock.js'
-import { MAX_CRASHES, MAX_EXCHANGE_ENTRIES, type ExchangeMessage } from '../types/exchange.js'
+import type { Clock, Milliseconds } from '../../types/clock.js'
+import { MAX_CRASHES, MAX_EXCHANGE_ENTRIES, type ExchangeMessage } from '../../types/exchange.js'
 
 /** Marks that are kept; the oldest give way. */
 const MAX_MARKS = 1_000
--- a/packages/core/src/core/suspectTable.ts
+++ b/packages/core/src/core/health/suspectTable.ts
@@ -1,6 +1,6 @@
-import type { Milliseconds } from '../types/clock.js'
-import type { RoutingPolicy } from '../types/routingPolicy.js'
-import type { SuspectMark } from '../types/suspectMark.js'
+import type { Milliseconds } from '../../types/clock.js'
+import type { RoutingPolicy } from '../../types/routingPolicy.js'
+import type { SuspectMark } from '../../types/suspectMark.js'
 
 interface Suspect {
   readonly upstreamIds: Set<string>
--- a/packages/core/src/core/upstreamState.ts
+++ b/packages/core/src/core/health/upstreamState.ts
@@ -1,9 +1,9 @@
-import type { Milliseconds } from '../types/clock.js'
-import type { UpstreamView } from '../types/picker.js'
-import type { RoutingPolicy } from '../types/routingPolicy.js'
-import type { LoadReport, Upstream } from '../types/upstream.js'
-import type { AdaptiveLimit } from './adaptiveLimit.js'
-import type { AttemptState } from './callState.js'
+import type { Milliseconds } from '../../types/clock.js'
+import type { UpstreamView } from '../../types/picker.js'
+import type { RoutingPolicy } from '../../types/routingPolicy.js'
+import type { LoadReport, Upstream } from '../../types/upstream.js'
+import type { AdaptiveLimit } from '../limits/adaptiveLimit.js'
+import type { RunningAttempt } from './runningAttempt.js'
 
 /** What the dispatcher keeps for one upstream; pickers read it as `UpstreamView`. */
 export class UpstreamState implements UpstreamView {
@@ -12,7 +12,7 @@
   inFlightAtReport = 0
   reportTrust = 1
   /** Attempts of this VM under way. */
-  readonly running = new Set<AttemptState>()
+  readonly running = new Set<RunningAttempt>()
   serviceTimeMs: Milliseconds | undefined
   errorShare = 0
   warmth = 1
--- a/packages/core/src/core/upstreamTable.ts
+++ b/packages/core/src/core/health/upstreamTable.ts
@@ -1,9 +1,9 @@
-import type { Milliseconds } from '../types/clock.js'
-import type { UpstreamSnapshot } from '../types/dispatcherSnapshot.js'
-import { NO_POLICY_EXCEPTIONS, type PolicyExceptions, type RoutingPolicy } from '../types/routingPolicy.js'
-import type { LoadReport, Upstream } from '../types/upstream.js'
-import { AdaptiveLimit } from './adaptiveLimit.js'
-import { chooseSubset } from './subset.js'
+import type { Milliseconds } from '../../types/clock.js'
+import type { UpstreamSnapshot } from '../../types/dispatcherSnapshot.js'
+import { NO_POLICY_EXCEPTIONS, type PolicyExceptions, type RoutingPolicy } from '../../types/routingPolicy.js'
+import type { LoadReport, Upstream } from '../../types/upstream.js'
+import { AdaptiveLimit } from '../limits/adaptiveLimit.js'
+import { chooseSubset } from '../routing/subset.js'
 import { UpstreamState } from './upstreamState.js'
 
 /** Upstreams of one service as this VM knows them. */
--- a/packages/core/src/core/claimLog.ts
+++ b/packages/core/src/core/keyed/claimLog.ts
@@ -1,8 +1,8 @@
-import type { Milliseconds } from '../types/clock.js'
-import { KEYED_RECORD_VERSION, claimsRecordSchema, type Claim, type ClaimsRecord, type FenceRecord } from '../types/keyedRecords.js'
-import type { KeyedTiming } from '../types/keyedTiming.js'
-import type { LogRecord } from '../types/logRecord.js'
-import { parseJson } from '../utils/parseJson.js'
+import type { Milliseconds } from '../../types/clock.js'
+import { KEYED_RECORD_VERSION, claimsRecordSchema, type Claim, type ClaimsRecord, type FenceRecord } from '../../types/keyedRecords.js'
+import type { KeyedTiming } from '../../types/keyedTiming.js'
+import type { LogRecord } from '../../types/logRecord.js'
+import { parseJson } from '../../utils/parseJson.js'
 
 /** A claim that is in the log. */
 export interface LoggedClaim {
--- a/packages/core/src/core/claimTable.ts
+++ b/packages/core/src/core/keyed/claimTable.ts
@@ -1,8 +1,8 @@
-import type { Milliseconds } from '../types/clock.js'
-import type { KeyedCallSettings } from '../types/configDocument.js'
-import type { HandedKey, KeyedCall, KeyedResponse, Refusal } from '../types/keyedCall.js'
-import type { KeyedTiming } from '../types/keyedTiming.js'
-import { partitionOf } from '../utils/hash.js'
+import type { Milliseconds } from '../../types/clock.js'
+import type { KeyedCallSettings } from '../../types/configDocument.js'
+import type { HandedKey, KeyedCall, KeyedResponse, Refusal } from '../../types/keyedCall.js'
+import type { KeyedTiming } from '../../types/keyedTiming.js'
+import { partitionOf } from '../../utils/hash.js'
 
 /** Calls that wait for one key; more are answered "outcome unknown" at once. */
 const MAX_WAITERS = 64
--- a/packages/core/src/core/claimer.ts
+++ b/packages/core/src/core/keyed/claimer.ts
@@ -1,7 +1,7 @@
-import type { Milliseconds } from '../types/clock.js'
-import type { WitnessAnswer } from '../types/keyedCall.js'
-import { KEYED_RECORD_VERSION, type Claim, type ClaimsRecord, type PartitionEpoch } from '../types/keyedRecords.js'
-import type { Member } from '../types/member.js'
+import type { Milliseconds } from '../../types/clock.js'
+import type { WitnessAnswer } from '../../types/keyedCall.js'
+import { KEYED_RECORD_VERSION, type Claim, type ClaimsRecord, type PartitionEpoch } from '../../types/keyedRecords.js'
+import type { Member } from '../../types/member.js'
 import type { KeyEntry } from './claimTable.js'
 import { isClaimLogSound, isInDoubt, usableWitnesses, type KeyedContext, type OwnedPartition } from './keyedContext.js'
 
--- a/packages/core/src/core/keyedIngress.ts
+++ b/packages/core/src/core/keyed/keyedIngress.ts
@@ -1,6 +1,6 @@
-import type { Clock, Milliseconds } from '../types/clock.js'
-import type { KeyedCall, KeyedResult } from '../types/keyedCall.js'
-import type { Member } from '../types/member.js'
+import type { Clock, Milliseconds } from '../../types/clock.js'
+import type { KeyedCall, KeyedResult } from '../../types/keyedCall.js'
+import type { Member } from '../../types/member.js'
 import type { KeyedCalls } from './keyedCalls.js'
 
 /** A call goes on to at most this many VMs; views of ownership differ only for moments. */
--- a/packages/core/src/core/ownedPartitions.ts
+++ b/packages/core/src/core/keyed/ownedPartitions.ts
@@ -1,5 +1,5 @@
-import type { Milliseconds } from '../types/clock.js'
-import type { OwnershipEntry, PartitionEpoch } from '../types/keyedRecords.js'
+import type { Milliseconds } from '../../types/clock.js'
+import type { OwnershipEntry, PartitionEpoch } from '../../types/keyedRecords.js'
 import type { KeyDesk } from './keyDesk.js'
 import { isInDoubt, type KeyedContext, type OwnedPartition } from './keyedContext.js'
 import type { OwnershipChange } from './ownership.js'
--- a/packages/core/src/core/ownership.ts
+++ b/packages/core/src/core/keyed/ownership.ts
@@ -1,10 +1,10 @@
 import {
   KEYED_RECORD_VERSION, ownershipRecordSchema, ownershipTableSchema,
   type HandoverRecord, type HoldRecord, type OwnershipEntry, type OwnershipTable, type TakeRecord, type WitnessEntry
-} from '../types/keyedRecords.js'
-import type { KeyedTiming } from '../types/keyedTiming.js'
-import type { LogRecord } from '../types/logRecord.js'
-import { parseJson } from '../utils/parseJson.js'
+} from '../../types/keyedRecords.js'
+import type { KeyedTiming } from '../../types/keyedTiming.js'
+import type { LogRecord } from '../../types/logRecord.js'
+import { parseJson } from '../../utils/parseJson.js'
 
 /** A partition whose owner or epoch changed. */
 export interface OwnershipChange {
--- a/packages/core/src/core/ownershipPlan.ts
+++ b/packages/core/src/core/keyed/ownershipPlan.ts
@@ -1,9 +1,9 @@
-import type { Milliseconds } from '../types/clock.js'
+import type { Milliseconds } from '../../types/clock.js'
 import {
   KEYED_RECORD_VERSION, type HoldGroup, type HoldRecord, type OwnershipEntry, type TakeRecord, type WitnessEntry
-} from '../types/keyedRecords.js'
-import { vmIdOf, type Member } from '../types/member.js'
-import { hashText, rendezvous } from '../utils/hash.js'
+} from '../../types/keyedRecords.js'
+import { vmIdOf, type Member } from '../../types/member.js'
+import { hashText, rendezvous } from '../../utils/hash.js'
 import type { Claimer } from './claimer.js'
 import { isInDoubt, isOpen, type KeyedContext, type OwnedPartition } from './keyedContext.js'
 
--- a/packages/core/src/core/partitionRecovery.ts
+++ b/packages/core/src/core/keyed/partitionRecovery.ts
@@ -1,7 +1,7 @@
-import type { Milliseconds } from '../types/clock.js'
-import type { CollectAnswer } from '../types/keyedCall.js'
-import { KEYED_RECORD_VERSION, type FenceRecord, type OwnershipEntry, type PartitionEpoch } from '../types/keyedRecords.js'
-import type { Member } from '../types/member.js'
+import type { Milliseconds } from '../../types/clock.js'
+import type { CollectAnswer } from '../../types/keyedCall.js'
+import { KEYED_RECORD_VERSION, type FenceRecord, type OwnershipEntry, type PartitionEpoch } from '../../types/keyedRecords.js'
+import type { Member } from '../../types/member.js'
 import type { KeyedContext, OwnedPartition } from './keyedContext.js'
 
 interface PendingCollect {
--- a/packages/core/src/core/witnessTable.ts
+++ b/packages/core/src/core/keyed/witnessTable.ts
@@ -1,8 +1,8 @@
-import type { Milliseconds } from '../types/clock.js'
-import type { CollectAnswer, CollectRequest, WitnessAnswer, WitnessRequest, WitnessedClaim } from '../types/keyedCall.js'
-import type { PartitionEpoch } from '../types/keyedRecords.js'
-import type { KeyedTiming } from '../types/keyedTiming.js'
-import type { Member } from '../types/member.js'
+import type { Milliseconds } from '../../types/clock.js'
+import type { CollectAnswer, CollectRequest, WitnessAnswer, WitnessRequest, WitnessedClaim } from '../../types/keyedCall.js'
+import type { PartitionEpoch } from '../../types/keyedRecords.js'
+import type { KeyedTiming } from '../../types/keyedTiming.js'
+import type { Member } from '../../types/member.js'
 
 /**
  * Claims that this VM remembers for owners while the log cannot record them. A VM that gave its claims to a new
--- a/packages/core/src/core/adaptiveLimit.ts
+++ b/packages/core/src/core/limits/adaptiveLimit.ts
@@ -1,5 +1,5 @@
-import type { Milliseconds } from '../types/clock.js'
-import type { RoutingPolicy } from '../types/routingPolicy.js'
+import type { Milliseconds } from '../../types/clock.js'
+import type { RoutingPolicy } from '../../types/routingPolicy.js'
 
 const SHORT_RATE = 0.2
 const LONG_RATE = 0.01
--- a/packages/core/src/core/admission.ts
+++ b/packages/core/src/core/limits/admission.ts
@@ -1,7 +1,7 @@
-import type { Milliseconds } from '../types/clock.js'
-import type { Call } from '../types/dispatch.js'
-import type { ResultCodeName } from '../types/resultCode.js'
-import type { RoutingContext } from './routingContext.js'
+import type { Milliseconds } from '../../types/clock.js'
+import type { Call } from '../../types/dispatch.js'
+import type { ResultCodeName } from '../../types/resultCode.js'
+import type { RoutingContext } from '../dispatch/routingContext.js'
 
 /** Why an arriving call is refused at once, if it is. `running` is the number of attempts under way. */
 export function refusalOnArrival (context: RoutingContext, call: Call, running: number): ResultCodeName | undefined {
--- a/packages/core/src/core/departureRate.ts
+++ b/packages/core/src/core/limits/departureRate.ts
@@ -1,4 +1,4 @@
-import type { Milliseconds } from '../types/clock.js'
+import type { Milliseconds } from '../../types/clock.js'
 
 const LEARNING_RATE = 0.1
 const LEAST_DEPARTURES = 4
--- a/packages/core/src/core/retryAfter.ts
+++ b/packages/core/src/core/limits/retryAfter.ts
@@ -1,7 +1,7 @@
-import type { Milliseconds } from '../types/clock.js'
-import type { Call, CallResult } from '../types/dispatch.js'
-import type { ResultCodeName } from '../types/resultCode.js'
-import type { RoutingContext } from './routingContext.js'
+import type { Milliseconds } from '../../types/clock.js'
+import type { Call, CallResult } from '../../types/dispatch.js'
+import type { ResultCodeName } from '../../types/resultCode.js'
+import type { RoutingContext } from '../dispatch/routingContext.js'
 
 /** Callers wait at most this share of the time that they have left. */
 const LARGEST_WAIT_SHARE = 1 / 3
--- a/packages/core/src/core/retryBudget.ts
+++ b/packages/core/src/core/limits/retryBudget.ts
@@ -1,4 +1,4 @@
-import type { RoutingPolicy } from '../types/routingPolicy.js'
+import type { RoutingPolicy } from '../../types/routingPolicy.js'
 
 /**
  * Budget for retries and hedges. It starts empty and earns a share of every call,
--- a/packages/core/src/core/waitQueue.ts
+++ b/packages/core/src/core/limits/waitQueue.ts
@@ -1,7 +1,7 @@
-import type { Milliseconds } from '../types/clock.js'
-import type { RequestKind } from '../types/requestKind.js'
-import type { RoutingPolicy } from '../types/routingPolicy.js'
-import type { CallState } from './callState.js'
+import type { Milliseconds } from '../../types/clock.js'
+import type { RequestKind } from '../../types/requestKind.js'
+import type { RoutingPolicy } from '../../types/routingPolicy.js'
+import type { CallState } from '../dispatch/callState.js'
 import { DepartureRate } from './departureRate.js'
 
 // The floors of all kinds together never take more than this share from the order by weight.
--- a/packages/core/src/core/listEvidence.ts
+++ b/packages/core/src/core/membership/listEvidence.ts
@@ -1,6 +1,6 @@
-import type { Clock, Milliseconds } from '../types/clock.js'
-import type { KeyedTiming } from '../types/keyedTiming.js'
-import { incarnationOf, vmIdOf, type Member, type VmListView } from '../types/member.js'
+import type { Clock, Milliseconds } from '../../types/clock.js'
+import type { KeyedTiming } from '../../types/keyedTiming.js'
+import { incarnationOf, vmIdOf, type Member, type VmListView } from '../../types/member.js'
 
 /**
  * What the VM list proves, and whether this VM may rely on its own view of ownership. A VM that was paused,
--- a/packages/core/src/core/membership.ts
+++ b/packages/core/src/core/membership/membership.ts
@@ -1,8 +1,8 @@
-import type { Clock, Milliseconds } from '../types/clock.js'
-import { EXCHANGE_VERSION, MAX_EXCHANGE_ENTRIES, exchangeMessageSchema, type ExchangeMessage } from '../types/exchange.js'
-import { incarnationOf, memberOf, vmIdOf, type Member, type VmListView } from '../types/member.js'
-import type { RandomSource } from '../types/randomSource.js'
-import { SharedMarks } from './sharedMarks.js'
+import type { Clock, Milliseconds } from '../../types/clock.js'
+import { EXCHANGE_VERSION, MAX_EXCHANGE_ENTRIES, exchangeMessageSchema, type ExchangeMessage } from '../../types/exchange.js'
+import { incarnationOf, memberOf, vmIdOf, type Member, type VmListView } from '../../types/member.js'
+import type { RandomSource } from '../../types/randomSource.js'
+import { SharedMarks } from '../health/sharedMarks.js'
 
 /** Peers that a VM contacts in each round. */
 export const FAN_OUT = 3
--- a/packages/core/src/core/expectedDelayPicker.ts
+++ b/packages/core/src/core/routing/expectedDelayPicker.ts
@@ -1,7 +1,7 @@
-import type { Milliseconds } from '../types/clock.js'
-import type { PickContext, Picker, UpstreamView } from '../types/picker.js'
-import { DEFAULT_ROUTING_POLICY, type RoutingPolicy } from '../types/routingPolicy.js'
-import { expectedExcess } from '../utils/expectedExcess.js'
+import type { Milliseconds } from '../../types/clock.js'
+import type { PickContext, Picker, UpstreamView } from '../../types/picker.js'
+import { DEFAULT_ROUTING_POLICY, type RoutingPolicy } from '../../types/routingPolicy.js'
+import { expectedExcess } from '../../utils/expectedExcess.js'
 
 const FIRST_GUESS_MS = 5
 // Time over which the mean load of other VMs is averaged, in service times.
--- a/packages/core/src/core/loadProbes.ts
+++ b/packages/core/src/core/routing/loadProbes.ts
@@ -1,8 +1,8 @@
-import type { Timer } from '../utils/timerQueue.js'
-import type { CallState } from './callState.js'
-import type { RoutingContext } from './routingContext.js'
+import type { Timer } from '../../utils/timerQueue.js'
+import type { CallState } from '../dispatch/callState.js'
+import type { RoutingContext } from '../dispatch/routingContext.js'
 import { rankUpstreams } from './upstreamChoice.js'
-import type { UpstreamState } from './upstreamState.js'
+import type { UpstreamState } from '../health/upstreamState.js'
 
 interface Waiting {
   readonly upstreams: Set<UpstreamState>
--- a/packages/core/src/core/reportTrust.ts
+++ b/packages/core/src/core/routing/reportTrust.ts
@@ -1,8 +1,9 @@
-import type { Milliseconds } from '../types/clock.js'
-import type { RoutingPolicy } from '../types/routingPolicy.js'
-import type { LoadReport } from '../types/upstream.js'
-import type { AttemptState } from './callState.js'
-import type { UpstreamState } from './upstreamState.js'
+import type { Milliseconds } from '../../types/clock.js'
+import type { RoutingPolicy } from '../../types/routingPolicy.js'
+import type { LoadReport } from '../../types/upstream.js'
+import type { RunningAttempt } from '../health/runningAttempt.js'
+import type { AttemptState } from '../dispatch/callState.js'
+import type { UpstreamState } from '../health/upstreamState.js'
 
 // An answer this much earlier than the reported queue allows is no scatter of service times.
 const IMPOSSIBLY_EARLY_SHARE = 0.5
@@ -27,7 +28,7 @@
 }
 
 /** Attempts that were sent before `sentBefore`. */
-function countArrived (running: ReadonlySet<AttemptState>, sentBefore: Milliseconds): number {
+function countArrived (running: ReadonlySet<RunningAttempt>, sentBefore: Milliseconds): number {
   let count = 0
   for (const attempt of running) {
     if (attempt.startedAt < sentBefore) count += 1
--- a/packages/core/src/core/requestMatcher.ts
+++ b/packages/core/src/core/routing/requestMatcher.ts
@@ -1,5 +1,5 @@
-import type { ConfigDocument } from '../types/configDocument.js'
-import type { RequestKind } from '../types/requestKind.js'
+import type { ConfigDocument } from '../../types/configDocument.js'
+import type { RequestKind } from '../../types/requestKind.js'
 
 /** The service and kind of a request. */
 export interface RequestMatch {
--- a/packages/core/src/core/serviceModel.ts
+++ b/packages/core/src/core/routing/serviceModel.ts
@@ -1,10 +1,10 @@
-import type { Milliseconds } from '../types/clock.js'
-import type { RequestKind } from '../types/requestKind.js'
-import type { RoutingPolicy } from '../types/routingPolicy.js'
-import type { LoadReport } from '../types/upstream.js'
-import { LatencyHistogram } from '../utils/latencyHistogram.js'
-import { keptShare } from '../utils/keptShare.js'
-import type { UpstreamState } from './upstreamState.js'
+import type { Milliseconds } from '../../types/clock.js'
+import type { RequestKind } from '../../types/requestKind.js'
+import type { RoutingPolicy } from '../../types/routingPolicy.js'
+import type { LoadReport } from '../../types/upstream.js'
+import { LatencyHistogram } from '../../utils/latencyHistogram.js'
+import { keptShare } from '../../utils/keptShare.js'
+import type { UpstreamState } from '../health/upstreamState.js'
 
 // One response never moves an estimate by more than this ratio; a single pause is not a trend.
 const LARGEST_RATIO = 20
--- a/packages/core/src/core/slotSharePicker.ts
+++ b/packages/core/src/core/routing/slotSharePicker.ts
@@ -1,4 +1,4 @@
-import type { PickContext, Picker, UpstreamView } from '../types/picker.js'
+import type { PickContext, Picker, UpstreamView } from '../../types/picker.js'
 
 // Time after which a report says no more about the load of other VMs than their mean, in service times.
 const AGING_SERVICE_TIMES = 1
--- a/packages/core/src/core/subset.ts
+++ b/packages/core/src/core/routing/subset.ts
@@ -1,4 +1,4 @@
-import { SeededRandom } from '../types/randomSource.js'
+import { SeededRandom } from '../../types/randomSource.js'
 
 /**
  * The part of `all` that the VM at `rank` uses. VMs of one round split a shuffled list into disjoint parts,
--- a/packages/core/src/core/upstreamChoice.ts
+++ b/packages/core/src/core/routing/upstreamChoice.ts
@@ -1,9 +1,9 @@
-import type { Milliseconds } from '../types/clock.js'
-import type { AttemptPurpose } from '../types/dispatch.js'
-import type { PickContext, UpstreamView } from '../types/picker.js'
-import type { CallState } from './callState.js'
-import type { RoutingContext } from './routingContext.js'
-import type { UpstreamState } from './upstreamState.js'
+import type { Milliseconds } from '../../types/clock.js'
+import type { AttemptPurpose } from '../../types/dispatch.js'
+import type { PickContext, UpstreamView } from '../../types/picker.js'
+import type { CallState } from '../dispatch/callState.js'
+import type { RoutingContext } from '../dispatch/routingContext.js'
+import type { UpstreamState } from '../health/upstreamState.js'
 
 /** The upstream for the next attempt of a call. */
 export interface Choice {
--- a/packages/daemon/__tests__/handover.test.ts
+++ b/packages/daemon/__tests__/handover.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai'
 import type { HandedKey, HandoverPayload } from '@cowsliplead/core/types/keyedCall.js'
-import { createPeerClient } from '../src/core/peerClients.js'
+import { createPeerClient } from '../src/core/peers/peerClients.js'
 import { decodeHandover, encodeHandover, HANDED_RESPONSES_BYTES } from '../src/utils/peerCodec.js'
 import { call, Rig, SHARED_KEY } from './harness.js'
 
--- a/packages/daemon/__tests__/privatePort.test.ts
+++ b/packages/daemon/__tests__/privatePort.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai'
-import { createPeerClient } from '../src/core/peerClients.js'
+import { createPeerClient } from '../src/core/peers/peerClients.js'
 import { sleep } from '../src/utils/sleep.js'
 import { readSettings } from '../src/core/settingsFile.js'
 import { call, createSettings, DOCUMENT, Rig, SHARED_KEY } from './harness.js'
--- a/packages/daemon/__tests__/proxy.test.ts
+++ b/packages/daemon/__tests__/proxy.test.ts
@@ -1,8 +1,8 @@
 import { expect } from 'chai'
 import type { RequestListener } from 'node:http'
 import { ProductDialect } from '../src/core/productDialect.js'
-import { Proxy } from '../src/core/proxy.js'
-import { RequestIds } from '../src/core/requestIds.js'
+import { Proxy } from '../src/core/callers/proxy.js'
+import { RequestIds } from '../src/core/callers/requestIds.js'
 import { call, portOf, reply, Rig, startUpstream } from './harness.js'
 
 const SHORT = 'a complete answer'
--- a/packages/daemon/__tests__/services.test.ts
+++ b/packages/daemon/__tests__/services.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai'
-import { createPeerClient } from '../src/core/peerClients.js'
+import { createPeerClient } from '../src/core/peers/peerClients.js'
 import { call, DOCUMENT, Rig, SHARED_KEY } from './harness.js'
 
 interface ServiceDump {
--- a/packages/daemon/__tests__/supervisor.test.ts
+++ b/packages/daemon/__tests__/supervisor.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai'
 import { FakeClock } from '@cowsliplead/core/types/clock.js'
-import { Supervisor } from '../src/core/supervisor.js'
-import { EventLoopMonitor } from '../src/core/eventLoopMonitor.js'
+import { Supervisor } from '../src/core/supervision/supervisor.js'
+import { EventLoopMonitor } from '../src/core/supervision/eventLoopMonitor.js'
 import type { Component } from '../src/types/component.js'
 import type { Timers } from '../src/types/timers.js'
 
--- a/packages/daemon/__tests__/tickTimer.test.ts
+++ b/packages/daemon/__tests__/tickTimer.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai'
 import { FakeClock } from '@cowsliplead/core/types/clock.js'
-import { TickTimer, type Ticking } from '../src/core/tickTimer.js'
+import { TickTimer, type Ticking } from '../src/core/supervision/tickTimer.js'
 import { sleep } from '../src/utils/sleep.js'
 
 /** Due at once, every time. */
--- a/packages/daemon/src/core/callRun.ts
+++ b/packages/daemon/src/core/callers/callRun.ts
@@ -1,9 +1,9 @@
 import type { Readable } from 'node:stream'
 import type { Call, CallResult } from '@cowsliplead/core/types/dispatch.js'
 import type { Milliseconds } from '@cowsliplead/core/types/clock.js'
-import type { Dialect } from '../types/dialect.js'
-import type { ResponseSink } from '../types/responseSink.js'
-import type { AttemptRequest, HeldResponse } from './attemptRun.js'
+import type { Dialect } from '../../types/dialect.js'
+import type { ResponseSink } from '../../types/responseSink.js'
+import type { AttemptRequest, HeldResponse } from '../upstreams/attemptRun.js'
 
 /** The request of a call in the form in which every attempt sends it. */
 export interface CallRequest {
--- a/packages/daemon/src/core/callerSink.ts
+++ b/packages/daemon/src/core/callers/callerSink.ts
@@ -1,10 +1,10 @@
 import type { ServerResponse } from 'node:http'
 import { RESULT_CODES, type ResultCodeName } from '@cowsliplead/core/types/resultCode.js'
-import type { Dialect } from '../types/dialect.js'
-import { CODE_HEADER, responseHeaders } from '../utils/headers.js'
-import { refusalStatus } from '../utils/refusalStatus.js'
+import type { Dialect } from '../../types/dialect.js'
+import { CODE_HEADER, responseHeaders } from '../../utils/headers.js'
+import { refusalStatus } from '../../utils/refusalStatus.js'
 import { hasBody } from './requestBody.js'
-import type { RefusalOptions, ResponseHead, ResponseSink, StreamDecision } from '../types/responseSink.js'
+import type { RefusalOptions, ResponseHead, ResponseSink, StreamDecision } from '../../types/responseSink.js'
 
 /** Above this size, copying a body costs more than a second write. */
 const JOINED_BODY_BYTES = 8 * 1024
--- a/packages/daemon/src/core/publicServer.ts
+++ b/packages/daemon/src/core/callers/publicServer.ts
@@ -1,7 +1,7 @@
 import type { AddressInfo } from 'node:net'
 import fastify, { type FastifyInstance } from 'fastify'
-import type { Component } from '../types/component.js'
-import { splitAddress } from '../utils/address.js'
+import type { Component } from '../../types/component.js'
+import { splitAddress } from '../../utils/address.js'
 import type { Proxy } from './proxy.js'
 
 /** What keeps the daemon from being ready; empty when it is ready. */
--- a/packages/daemon/src/core/checkpointWriter.ts
+++ b/packages/daemon/src/core/control/checkpointWriter.ts
@@ -1,9 +1,9 @@
 import type { Milliseconds } from '@cowsliplead/core/types/clock.js'
-import type { Component } from '../types/component.js'
-import type { JsonValue, Log } from '../types/platform.js'
-import { sleep } from '../utils/sleep.js'
+import type { Component } from '../../types/component.js'
+import type { JsonValue, Log } from '../../types/platform.js'
+import { sleep } from '../../utils/sleep.js'
 import { CONFIG_STREAM, type ConfigKeeper } from './configKeeper.js'
-import type { Fleet } from './fleet.js'
+import type { Fleet } from '../peers/fleet.js'
 
 const LONGEST_INTERVAL_MS = 10_000
 
--- a/packages/daemon/src/core/configKeeper.ts
+++ b/packages/daemon/src/core/control/configKeeper.ts
@@ -1,10 +1,10 @@
-import { ConfigState } from '@cowsliplead/core/core/configState.js'
+import { ConfigState } from '@cowsliplead/core/core/configuration/configState.js'
 import type { Clock, Milliseconds } from '@cowsliplead/core/types/clock.js'
 import type { ConfigDocument } from '@cowsliplead/core/types/configDocument.js'
 import type { ChangeVerdict } from '@cowsliplead/core/types/configRecords.js'
-import type { LogPage } from '../types/platform.js'
+import type { LogPage } from '../../types/platform.js'
 import type { StreamConsumer } from './streamReader.js'
-import { timeoutSignal } from '../utils/timeoutSignal.js'
+import { timeoutSignal } from '../../utils/timeoutSignal.js'
 
 /** Stream of configuration changes and checkpoints. */
 export const CONFIG_STREAM = 'config'
--- a/packages/daemon/src/core/httpLog.ts
+++ b/packages/daemon/src/core/control/httpLog.ts
@@ -1,7 +1,7 @@
 import { Result } from 'true-myth/result'
 import type { Milliseconds } from '@cowsliplead/core/types/clock.js'
-import type { AppendError, JsonValue, Log, LogPage, ReadError } from '../types/platform.js'
-import { APPEND_RESPONSE, EXPIRED_RESPONSE, LOG_PAGE } from '../types/platformSchema.js'
+import type { AppendError, JsonValue, Log, LogPage, ReadError } from '../../types/platform.js'
+import { APPEND_RESPONSE, EXPIRED_RESPONSE, LOG_PAGE } from '../../types/platformSchema.js'
 import { exchange, type ExchangeFailure, type ExchangeResponse, type PlatformEndpoint } from './httpExchange.js'
 
 const CREATED = 201
--- a/packages/daemon/src/core/httpVmList.ts
+++ b/packages/daemon/src/core/control/httpVmList.ts
@@ -1,6 +1,6 @@
 import { Result } from 'true-myth/result'
-import type { PlatformUnavailable, VmList, VmListing } from '../types/platform.js'
-import { VM_LISTING } from '../types/platformSchema.js'
+import type { PlatformUnavailable, VmList, VmListing } from '../../types/platform.js'
+import { VM_LISTING } from '../../types/platformSchema.js'
 import { exchange, type PlatformEndpoint } from './httpExchange.js'
 
 /** The platform's VM list over HTTP. */
--- a/packages/daemon/src/core/publisher.ts
+++ b/packages/daemon/src/core/control/publisher.ts
@@ -2,7 +2,7 @@
 import { createChange, type ChangeVerdict } from '@cowsliplead/core/types/configRecords.js'
 import type { Milliseconds } from '@cowsliplead/core/types/clock.js'
 import { raise } from '@cowsliplead/core/utils/raise.js'
-import type { JsonValue, Log } from '../types/platform.js'
+import type { JsonValue, Log } from '../../types/platform.js'
 import { CONFIG_STREAM, type ConfigKeeper } from './configKeeper.js'
 
 const APPEND_ATTEMPTS = 3
--- a/packages/daemon/src/core/revisionSurvey.ts
+++ b/packages/daemon/src/core/control/revisionSurvey.ts
@@ -1,8 +1,8 @@
 import type { Milliseconds } from '@cowsliplead/core/types/clock.js'
-import type { EntryVm } from '../types/platform.js'
-import type { InForce, VmRevision } from '../types/privateApi.js'
-import type { PeerClients } from './peerClients.js'
-import { timeoutSignal } from '../utils/timeoutSignal.js'
+import type { EntryVm } from '../../types/platform.js'
+import type { InForce, VmRevision } from '../../types/privateApi.js'
+import type { PeerClients } from '../peers/peerClients.js'
+import { timeoutSignal } from '../../utils/timeoutSignal.js'
 
 /** Above any revision, so that peers answer without their whole state. */
 const NO_SNAPSHOT = Number.MAX_SAFE_INTEGER
--- a/packages/daemon/src/core/streamReader.ts
+++ b/packages/daemon/src/core/control/streamReader.ts
@@ -1,7 +1,7 @@
 import type { Clock, Milliseconds } from '@cowsliplead/core/types/clock.js'
-import type { Component } from '../types/component.js'
-import type { Log, LogPage, ReadError } from '../types/platform.js'
-import { sleep } from '../utils/sleep.js'
+import type { Component } from '../../types/component.js'
+import type { Log, LogPage, ReadError } from '../../types/platform.js'
+import { sleep } from '../../utils/sleep.js'
 
 const PAGE_RECORDS = 500
 /** A read that waits longer would be too old as a sign that ownership has not changed. */
--- a/packages/daemon/src/core/vmListReader.ts
+++ b/packages/daemon/src/core/control/vmListReader.ts
@@ -1,7 +1,7 @@
 import type { Milliseconds } from '@cowsliplead/core/types/clock.js'
-import type { Component } from '../types/component.js'
-import type { VmList, VmListing } from '../types/platform.js'
-import { sleep } from '../utils/sleep.js'
+import type { Component } from '../../types/component.js'
+import type { VmList, VmListing } from '../../types/platform.js'
+import { sleep } from '../../utils/sleep.js'
 
 /** Reads the VM list at an interval. While the list is down, the last one stays in use. */
 export class VmListReader implements Component {
--- a/packages/daemon/src/core/gateway/adminServer.ts
+++ b/packages/daemon/src/core/gateway/adminServer.ts
@@ -1,6 +1,6 @@
 import { createServer, type Server, type ServerResponse } from 'node:http'
 import { splitAddress } from '../../utils/address.js'
-import type { Metrics } from '../metrics.js'
+import type { Metrics } from '../operators/metrics.js'
 
 /** Serves the metrics and a dump of the process's state. */
 export class AdminServer {
--- a/packages/daemon/src/core/gateway/callLog.ts
+++ b/packages/daemon/src/core/gateway/callLog.ts
@@ -1,9 +1,9 @@
 import type { Histogram } from 'prom-client'
 import type { Milliseconds } from '@cowsliplead/core/types/clock.js'
 import type { Attempt, AttemptEnd, CallResult, CancelReason } from '@cowsliplead/core/types/dispatch.js'
-import type { AttemptRun } from '../attemptRun.js'
-import type { CallRun } from '../callRun.js'
-import type { CallObserver } from '../serviceHost.js'
+import type { AttemptRun } from '../upstreams/attemptRun.js'
+import type { CallRun } from '../callers/callRun.js'
+import type { CallObserver } from '../upstreams/serviceHost.js'
 import type { EventLog } from './eventLog.js'
 
 /** Writes one line for each decision that touches a request, and observes latencies. */
--- a/packages/daemon/src/core/gateway/callerServer.ts
+++ b/packages/daemon/src/core/gateway/callerServer.ts
@@ -2,7 +2,7 @@
 import { Server as NetServer, type AddressInfo, type Socket } from 'node:net'
 import type { CallerLimits } from '@cowsliplead/core/types/routes.js'
 import { splitAddress } from '../../utils/address.js'
-import type { Proxy } from '../proxy.js'
+import type { Proxy } from '../callers/proxy.js'
 
 /** Largest head that is read; the configuration bounds what is accepted below it. */
 const LARGEST_HEAD_BYTES = 256 * 1024
--- a/packages/daemon/src/core/gateway/controlState.ts
+++ b/packages/daemon/src/core/gateway/controlState.ts
@@ -3,7 +3,7 @@
 import type { RouteConfig } from '@cowsliplead/core/types/routes.js'
 import type { UpstreamEntry } from '@cowsliplead/core/types/upstreamEntry.js'
 import type { ControlStore, StoreFailure, TableRecord } from '../../types/controlStore.js'
-import type { Journal } from '../journal.js'
+import type { Journal } from '../operators/journal.js'
 import type { GatewayServices } from './gatewayServices.js'
 import { TableReader, type TableConsumer } from './tableReader.js'
 
--- a/packages/daemon/src/core/gateway/eventLog.ts
+++ b/packages/daemon/src/core/gateway/eventLog.ts
@@ -1,6 +1,6 @@
 import winston from 'winston'
 import type { Clock, Milliseconds } from '@cowsliplead/core/types/clock.js'
-import type { Journal } from '../journal.js'
+import type { Journal } from '../operators/journal.js'
 import { BoundedOutput } from './boundedOutput.js'
 
 /** Lines about single requests that are written in one second; the others are counted. */
--- a/packages/daemon/src/core/gateway/gatewayServices.ts
+++ b/packages/daemon/src/core/gateway/gatewayServices.ts
@@ -1,6 +1,6 @@
 import type { IncomingMessage } from 'node:http'
-import { Dispatcher } from '@cowsliplead/core/core/dispatcher.js'
-import { ExpectedDelayPicker } from '@cowsliplead/core/core/expectedDelayPicker.js'
+import { Dispatcher } from '@cowsliplead/core/core/dispatch/dispatcher.js'
+import { ExpectedDelayPicker } from '@cowsliplead/core/core/routing/expectedDelayPicker.js'
 import { RouteTable } from '@cowsliplead/core/core/routing/routeTable.js'
 import { requestKindOf } from '@cowsliplead/core/core/routing/requestKinds.js'
 import type { Clock } from '@cowsliplead/core/types/clock.js'
@@ -11,10 +11,10 @@
 import type { Route, RouteConfig, ServiceTarget } from '@cowsliplead/core/types/routes.js'
 import type { Upstream } from '@cowsliplead/core/types/upstream.js'
 import type { Dialect } from '../../types/dialect.js'
-import type { RequestTarget } from '../proxy.js'
-import { ServiceHost, type CallObserver } from '../serviceHost.js'
-import type { TickTimer } from '../tickTimer.js'
-import { UpstreamConnections, type ConnectionLimits } from '../upstreamConnections.js'
+import type { RequestTarget } from '../callers/proxy.js'
+import { ServiceHost, type CallObserver } from '../upstreams/serviceHost.js'
+import type { TickTimer } from '../supervision/tickTimer.js'
+import { UpstreamConnections, type ConnectionLimits } from '../upstreams/upstreamConnections.js'
 
 // VMs do not know how many they are; load reports tell each one what the others do.
 const SOLE_RANK = 0
--- a/packages/daemon/src/core/captureSink.ts
+++ b/packages/daemon/src/core/keyed/captureSink.ts
@@ -1,5 +1,5 @@
 import type { ResultCodeName } from '@cowsliplead/core/types/resultCode.js'
-import type { ResponseHead, ResponseSink, StreamDecision } from '../types/responseSink.js'
+import type { ResponseHead, ResponseSink, StreamDecision } from '../../types/responseSink.js'
 
 /** Responses to keyed calls up to this size are passed between VMs. */
 export const CAPTURED_RESPONSE_BYTES = 256 * 1024
--- a/packages/daemon/src/core/keyedStreams.ts
+++ b/packages/daemon/src/core/keyed/keyedStreams.ts
@@ -1,8 +1,8 @@
-import type { KeyedCalls } from '@cowsliplead/core/core/keyedCalls.js'
+import type { KeyedCalls } from '@cowsliplead/core/core/keyed/keyedCalls.js'
 import type { Milliseconds } from '@cowsliplead/core/types/clock.js'
-import type { LogPage } from '../types/platform.js'
+import type { LogPage } from '../../types/platform.js'
 import type { KeyedHost } from './keyedHost.js'
-import type { StreamConsumer } from './streamReader.js'
+import type { StreamConsumer } from '../control/streamReader.js'
 
 /** Streams of ownership records and of claims. */
 export type KeyedStream = 'ownership' | 'claims'
--- a/packages/daemon/src/core/metrics.ts
+++ b/packages/daemon/src/core/operators/metrics.ts
@@ -1,7 +1,7 @@
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
-import type { ServiceHost } from './serviceHost.js'
-import type { ServiceCounters } from './serviceCounters.js'
-import type { ComponentState } from './supervisor.js'
+import type { ServiceHost } from '../upstreams/serviceHost.js'
+import type { ServiceCounters } from '../upstreams/serviceCounters.js'
+import type { ComponentState } from '../supervision/supervisor.js'
 
 /** Where the metrics come from; read only when they are asked for. */
 export interface MetricsSource {
--- a/packages/daemon/src/core/operatorApi.ts
+++ b/packages/daemon/src/core/operators/operatorApi.ts
@@ -1,12 +1,12 @@
 import type { AppliedChange } from '@cowsliplead/core/types/configRecords.js'
 import { vmIdOf } from '@cowsliplead/core/types/member.js'
-import type { DaemonStatus, InForce, PeerApi, PeerConfig, PrivateApi } from '../types/privateApi.js'
-import type { Settings } from '../types/settings.js'
-import type { DaemonState } from './daemonState.js'
-import { createPeerApi } from './peerApi.js'
-import type { ChangeRequest, Publisher, PublishResult } from './publisher.js'
-import { surveyRevisions } from './revisionSurvey.js'
-import type { ComponentState } from './supervisor.js'
+import type { DaemonStatus, InForce, PeerApi, PeerConfig, PrivateApi } from '../../types/privateApi.js'
+import type { Settings } from '../../types/settings.js'
+import type { DaemonState } from '../daemonState.js'
+import { createPeerApi } from '../peers/peerApi.js'
+import type { ChangeRequest, Publisher, PublishResult } from '../control/publisher.js'
+import { surveyRevisions } from '../control/revisionSurvey.js'
+import type { ComponentState } from '../supervision/supervisor.js'
 
 /** A peer that does not tell its revision within this time is reported as not answering. */
 const PEER_TIMEOUT_MS = 1000
--- a/packages/daemon/src/core/router.ts
+++ b/packages/daemon/src/core/operators/router.ts
@@ -3,8 +3,8 @@
 import { exchangeMessageSchema } from '@cowsliplead/core/types/exchange.js'
 import { CodedError } from '@cowsliplead/core/utils/raise.js'
 import { RESULT_CODES } from '@cowsliplead/core/types/resultCode.js'
-import { COLLECT_SCHEMA, HANDOVER_SCHEMA, RUN_KEYED_SCHEMA, WITNESS_SCHEMA } from '../types/peerMessages.js'
-import type { PrivateApi } from '../types/privateApi.js'
+import { COLLECT_SCHEMA, HANDOVER_SCHEMA, RUN_KEYED_SCHEMA, WITNESS_SCHEMA } from '../../types/peerMessages.js'
+import type { PrivateApi } from '../../types/privateApi.js'
 
 /** What is known of a private request. */
 export interface PrivateContext {
--- a/packages/daemon/src/core/fleet.ts
+++ b/packages/daemon/src/core/peers/fleet.ts
@@ -1,6 +1,6 @@
 import type { Clock, Milliseconds } from '@cowsliplead/core/types/clock.js'
 import type { Upstream } from '@cowsliplead/core/types/upstream.js'
-import type { EntryVm, UpstreamVm, Vm, VmListing } from '../types/platform.js'
+import type { EntryVm, UpstreamVm, Vm, VmListing } from '../../types/platform.js'
 
 /** The VMs as the newest VM list describes them, and this VM's place among them. */
 export class Fleet {
--- a/packages/daemon/src/core/peerApi.ts
+++ b/packages/daemon/src/core/peers/peerApi.ts
@@ -1,6 +1,6 @@
-import type { PeerApi } from '../types/privateApi.js'
-import { decodeHandover, encodeResult } from '../utils/peerCodec.js'
-import type { KeyedHost } from './keyedHost.js'
+import type { PeerApi } from '../../types/privateApi.js'
+import { decodeHandover, encodeResult } from '../../utils/peerCodec.js'
+import type { KeyedHost } from '../keyed/keyedHost.js'
 import type { PeerExchange } from './peerExchange.js'
 
 /** Answers the messages of peers. */
--- a/packages/daemon/src/core/peerClients.ts
+++ b/packages/daemon/src/core/peers/peerClients.ts
@@ -1,8 +1,8 @@
 import { createTRPCClient, httpLink, type TRPCClient } from '@trpc/client'
 import type { Milliseconds } from '@cowsliplead/core/types/clock.js'
-import type { AppRouter } from '../types/appRouter.js'
-import { SHARED_KEY_HEADER } from '../utils/sharedKey.js'
-import { timeoutSignal } from '../utils/timeoutSignal.js'
+import type { AppRouter } from '../../types/appRouter.js'
+import { SHARED_KEY_HEADER } from '../../utils/sharedKey.js'
+import { timeoutSignal } from '../../utils/timeoutSignal.js'
 
 /** Typed client of one daemon's private port. */
 export type PeerClient = TRPCClient<AppRouter>
--- a/packages/daemon/src/core/peerExchange.ts
+++ b/packages/daemon/src/core/peers/peerExchange.ts
@@ -1,16 +1,16 @@
-import { Membership, SUSPECT_MS, type MembershipPort } from '@cowsliplead/core/core/membership.js'
+import { Membership, SUSPECT_MS, type MembershipPort } from '@cowsliplead/core/core/membership/membership.js'
 import type { Clock } from '@cowsliplead/core/types/clock.js'
 import type { ExchangeMessage } from '@cowsliplead/core/types/exchange.js'
 import type { Member } from '@cowsliplead/core/types/member.js'
 import type { RandomSource } from '@cowsliplead/core/types/randomSource.js'
-import type { Component } from '../types/component.js'
-import type { JsonValue, Log } from '../types/platform.js'
-import { sleep } from '../utils/sleep.js'
-import { CONFIG_STREAM, type ConfigKeeper } from './configKeeper.js'
+import type { Component } from '../../types/component.js'
+import type { JsonValue, Log } from '../../types/platform.js'
+import { sleep } from '../../utils/sleep.js'
+import { CONFIG_STREAM, type ConfigKeeper } from '../control/configKeeper.js'
 import type { Fleet } from './fleet.js'
-import type { KeyedHost } from './keyedHost.js'
+import type { KeyedHost } from '../keyed/keyedHost.js'
 import type { PeerCaller } from './peerClients.js'
-import type { Services } from './services.js'
+import type { Services } from '../services.js'
 
 /** Shorter than a round, so that rounds do not overlap. */
 const TIMEOUT_MS = 800
--- a/packages/daemon/src/core/supervisor.ts
+++ b/packages/daemon/src/core/supervision/supervisor.ts
@@ -1,6 +1,6 @@
 import type { Clock, Milliseconds } from '@cowsliplead/core/types/clock.js'
-import type { Component } from '../types/component.js'
-import type { Timers } from '../types/timers.js'
+import type { Component } from '../../types/component.js'
+import type { Timers } from '../../types/timers.js'
 
 const FIRST_DELAY_MS = 100
 const LONGEST_DELAY_MS = 5000
--- a/packages/daemon/src/core/attemptRun.ts
+++ b/packages/daemon/src/core/upstreams/attemptRun.ts
@@ -2,12 +2,12 @@
 import type { AttemptEnd } from '@cowsliplead/core/types/dispatch.js'
 import type { LoadReport } from '@cowsliplead/core/types/upstream.js'
 import type { Clock } from '@cowsliplead/core/types/clock.js'
-import type { Dialect, ResponseMarks } from '../types/dialect.js'
-import type { ResponseHead, StreamDecision } from '../types/responseSink.js'
-import { findHeader } from '../utils/headers.js'
+import type { Dialect, ResponseMarks } from '../../types/dialect.js'
+import type { ResponseHead, StreamDecision } from '../../types/responseSink.js'
+import { findHeader } from '../../utils/headers.js'
 import type { Connection } from './connectionSet.js'
-import type { ExchangeHandler, ExchangeLoss } from './upstreams/httpConnection.js'
-import type { ParsedHead } from './upstreams/responseParser.js'
+import type { ExchangeHandler, ExchangeLoss } from './httpConnection.js'
+import type { ParsedHead } from './responseParser.js'
 
 /** Responses up to this size are held until they are complete, so that a cut one can be retried. */
 export const HELD_RESPONSE_BYTES = 64 * 1024
--- a/packages/daemon/src/core/connectionSet.ts
+++ b/packages/daemon/src/core/upstreams/connectionSet.ts
@@ -1,5 +1,5 @@
 import type { Clock, Milliseconds } from '@cowsliplead/core/types/clock.js'
-import { HttpConnection } from './upstreams/httpConnection.js'
+import { HttpConnection } from './httpConnection.js'
 
 /** Idle time after which a connection is not used again where the upstream grants no time of its own. */
 const IDLE_LIFETIME_MS = 60_000
--- a/packages/daemon/src/core/upstreams/upstreamProbe.ts
+++ b/packages/daemon/src/core/upstreams/upstreamProbe.ts
@@ -1,7 +1,7 @@
 import type { Clock, Milliseconds } from '@cowsliplead/core/types/clock.js'
 import type { LoadReport } from '@cowsliplead/core/types/upstream.js'
 import type { Dialect } from '../../types/dialect.js'
-import type { Connection } from '../connectionSet.js'
+import type { Connection } from './connectionSet.js'
 import type { ExchangeHandler } from './httpConnection.js'
 import type { ParsedHead } from './responseParser.js'
 
--- a/packages/daemon/src/types/keyedRunner.ts
+++ b/packages/daemon/src/types/keyedRunner.ts
@@ -1,5 +1,5 @@
 import type { Call } from '@cowsliplead/core/types/dispatch.js'
-import type { CallRequest } from '../core/callRun.js'
+import type { CallRequest } from '../core/callers/callRun.js'
 import type { ResponseSink } from './responseSink.js'
 
 /** A non-idempotent call with an idempotency key. */
--- a/packages/daemon/src/types/privateApi.ts
+++ b/packages/daemon/src/types/privateApi.ts
@@ -6,8 +6,8 @@
 import type {
   CollectMessage, HandoverMessage, KeyedResultMessage, PeerTable, RunKeyedMessage, WitnessMessage
 } from './peerMessages.js'
-import type { ChangeRequest, PublishResult } from '../core/publisher.js'
-import type { ComponentState } from '../core/supervisor.js'
+import type { ChangeRequest, PublishResult } from '../core/control/publisher.js'
+import type { ComponentState } from '../core/supervision/supervisor.js'
 
 /** What one entry VM says of its configuration. */
 export interface VmRevision {
--- a/packages/standin/__tests__/httpAdapters.test.ts
+++ b/packages/standin/__tests__/httpAdapters.test.ts
@@ -2,8 +2,8 @@
 import type { AddressInfo } from 'node:net'
 import { gzipSync } from 'node:zlib'
 import { expect } from 'chai'
-import { HttpLog } from '@cowsliplead/daemon/core/httpLog.js'
-import { HttpVmList } from '@cowsliplead/daemon/core/httpVmList.js'
+import { HttpLog } from '@cowsliplead/daemon/core/control/httpLog.js'
+import { HttpVmList } from '@cowsliplead/daemon/core/control/httpVmList.js'
 
 interface ResponseCase {
   readonly status: number
--- a/packages/standin/__tests__/platformSubject.ts
+++ b/packages/standin/__tests__/platformSubject.ts
@@ -1,6 +1,6 @@
 import { FakeClock, type Milliseconds } from '@cowsliplead/core/types/clock.js'
-import { HttpLog } from '@cowsliplead/daemon/core/httpLog.js'
-import { HttpVmList } from '@cowsliplead/daemon/core/httpVmList.js'
+import { HttpLog } from '@cowsliplead/daemon/core/control/httpLog.js'
+import { HttpVmList } from '@cowsliplead/daemon/core/control/httpVmList.js'
 import type { Log, Vm, VmList } from '@cowsliplead/daemon/types/platform.js'
 import { PlatformStandin } from '../src/core/platformStandin.js'
 import type { PlatformFaults } from '../src/types/platformOptions.js'
