Share marks of requests that crash upstreams through the store, and read upstream entries every 600 ms

Cause: a request that crashes upstreams comes again at any VM, and six VMs that each allow three crashes allow eighteen. Marks go to a table of the store in batches of 500 ms and are read with a long poll; the VM's own marks hold at once.

--- a/packages/daemon/__tests__/tableReader.test.ts
+++ b/packages/daemon/__tests__/tableReader.test.ts
@@ -27,6 +27,10 @@
     return answer(step !== undefined && 'changes' in step ? step.changes : 'unanswered')
   }
 
+  async put (): Promise<StoreResult<void>> {
+    return Result.err('refused')
+  }
+
   decodeRoutes (): undefined {}
 
   decodeUpstream (): undefined {}
--- a/packages/daemon/src/core/gateway/controlState.ts
+++ b/packages/daemon/src/core/gateway/controlState.ts
@@ -14,7 +14,7 @@
 const CONFIGURATION_WAIT_MS: Milliseconds = 2000
 
 /** Pause between two reads of upstream entries, which change with every heartbeat. */
-const UPSTREAMS_PAUSE_MS: Milliseconds = 350
+const UPSTREAMS_PAUSE_MS: Milliseconds = 600
 
 /** What the control state is made of. */
 export interface ControlStateOptions {
--- a/packages/daemon/src/core/gateway/gateway.ts
+++ b/packages/daemon/src/core/gateway/gateway.ts
@@ -18,6 +18,7 @@
 import { MonotonicClock } from './monotonicClock.js'
 import { retryBudgetOf } from './retryBudgetShare.js'
 import { ReadinessServer } from './readinessServer.js'
+import { SharedSuspects } from './sharedSuspects.js'
 
 /** Short against the shortest stall interval. */
 const TOUCH_INTERVAL_MS = 20
@@ -47,6 +48,7 @@
   private readonly tickTimer = TickTimer.create(this.clock)
   private readonly services: GatewayServices
   private readonly control: ControlState
+  private readonly suspects: SharedSuspects
   private readonly proxy: Proxy
   private readonly callerServer: CallerServer
   private readonly readinessServer: ReadinessServer
@@ -71,11 +73,15 @@
       limits: { connectTimeoutMs: CONNECT_TIMEOUT_MS },
       failureDomain,
       policy: policyOf(settings),
-      observerOf: service => CallLog.create(service, log, latencies)
+      observerOf: service => CallLog.create(service, log, latencies),
+      onSuspects: marks => this.suspects.publish(marks)
     })
     this.control = ControlState.create({
       store, clock, services: this.services, journal: log.journal, renewalMs, onConfig: () => this.callerServer.applyLimits()
     })
+    this.suspects = SharedSuspects.create({
+      store, clock, journal: log.journal, importMarks: marks => this.services.importSuspects(marks)
+    })
     this.proxy = this.createProxy()
     this.callerServer = CallerServer.create(this.proxy, () => this.services.config?.limits)
     this.readinessServer = ReadinessServer.create(settings.readinessPath, () => this.unreadyReasons())
@@ -96,6 +102,7 @@
     const { services, settings, log: { journal } } = this
     this.touchTimer = setInterval(() => services.touchWaiting(), TOUCH_INTERVAL_MS)
     this.control.start()
+    this.suspects.start()
     await this.callerServer.listen(settings.publicAddress)
     await this.readinessServer.listen(settings.readinessAddress)
     await this.adminServer.listen(settings.adminAddress)
@@ -135,6 +142,7 @@
   private release (): void {
     clearInterval(this.touchTimer)
     this.control.stop()
+    this.suspects.stop()
     this.peripherals.store.close()
     this.readinessServer.close()
     this.adminServer.close()
--- a/packages/daemon/src/core/gateway/gatewayServices.ts
+++ b/packages/daemon/src/core/gateway/gatewayServices.ts
@@ -9,6 +9,7 @@
 import type { ResultCodeName } from '@cowsliplead/core/types/resultCode.js'
 import { NO_POLICY_EXCEPTIONS, type RoutingPolicy } from '@cowsliplead/core/types/routingPolicy.js'
 import type { Route, RouteConfig, ServiceTarget } from '@cowsliplead/core/types/routes.js'
+import type { SuspectMark } from '@cowsliplead/core/types/suspectMark.js'
 import type { Upstream } from '@cowsliplead/core/types/upstream.js'
 import type { Dialect } from '../../types/dialect.js'
 import type { RequestTarget } from '../callers/proxy.js'
@@ -31,6 +32,8 @@
   readonly policy: RoutingPolicy
   /** Who hears of the decisions about calls of a service. */
   readonly observerOf: (service: string) => CallObserver
+  /** Called when requests are marked because they crashed an upstream. */
+  readonly onSuspects: (marks: readonly SuspectMark[]) => void
 }
 
 /** The service hosts of the routes in force. */
@@ -81,6 +84,11 @@
     for (const target of this.config?.services.values() ?? []) this.putHost(target)
   }
 
+  /** Takes other VMs' marks of requests that crashed upstreams. */
+  importSuspects (marks: readonly SuspectMark[]): void {
+    for (const host of this.hosts.values()) host.dispatcher.importSuspects(marks)
+  }
+
   /** Where a caller's request goes, or why it goes nowhere. */
   route (request: IncomingMessage): RequestTarget | ResultCodeName {
     if (this.table === undefined) return 'notReady'
@@ -118,7 +126,7 @@
       tickTimer,
       dialect,
       connections: UpstreamConnections.create(clock, limits),
-      onSuspects: () => {},
+      onSuspects: this.options.onSuspects,
       observer: this.options.observerOf(name),
       createDispatcher: port => Dispatcher.create({
         service: name, clock, random, port, picker: ExpectedDelayPicker.create(policy), policy, failureDomain
--- a/packages/daemon/src/core/upstreams/serviceHost.ts
+++ b/packages/daemon/src/core/upstreams/serviceHost.ts
@@ -23,7 +23,7 @@
   readonly dialect: Dialect
   readonly createDispatcher: (port: DispatchPort) => Dispatcher
   /** Called when a request is marked as suspect. */
-  readonly onSuspects: () => void
+  readonly onSuspects: (marks: readonly SuspectMark[]) => void
   /** Hears of every decision that touches a call; undefined where nobody listens. */
   readonly observer?: CallObserver
 }
@@ -75,8 +75,8 @@
   }
 
   /** Marks travel at once: callers send a request that crashed an upstream again within milliseconds. */
-  shareSuspects (_marks: readonly SuspectMark[]): void {
-    this.options.onSuspects()
+  shareSuspects (marks: readonly SuspectMark[]): void {
+    this.options.onSuspects(marks)
   }
 
   /** Calls that have no result yet. */
--- a/packages/daemon/src/types/controlStore.ts
+++ b/packages/daemon/src/types/controlStore.ts
@@ -4,7 +4,7 @@
 import type { UpstreamEntry } from '@cowsliplead/core/types/upstreamEntry.js'
 
 /** Tables of the control store. The newest record of each key is kept until it is removed. */
-export type TableName = 'configuration' | 'upstreams'
+export type TableName = 'configuration' | 'upstreams' | 'suspects'
 
 /** One record of a table; without a value, the key is removed. */
 export interface TableRecord {
@@ -44,6 +44,8 @@
   newest (table: TableName, after?: string): Promise<StoreResult<TablePage>>
   /** Changes from `from` on; waits up to `waitMs` for one. */
   changes (table: TableName, from: number, waitMs: Milliseconds): Promise<StoreResult<TableChanges>>
+  /** Writes records to a table, all or none. */
+  put (table: TableName, records: readonly TableRecord[]): Promise<StoreResult<void>>
   /** Undefined where the record is no configuration. */
   decodeRoutes (record: TableRecord): RouteConfig | undefined
   /** Undefined where the record names no upstream that can be used. */
