--- a/packages/core/src/types/resultCode.ts
+++ b/packages/core/src/types/resultCode.ts
@@ -31,6 +31,7 @@
   keyTableFull: code(110, 'keyTableFull', 'notRun', 'The table of idempotency keys is full.'),
   bodyTooLarge: code(111, 'bodyTooLarge', 'notRun', 'The body of a keyed call is over its limit.'),
   bodyTimeout: code(112, 'bodyTimeout', 'notRun', 'The caller did not send the body in time.'),
+  headTooLarge: code(113, 'headTooLarge', 'notRun', 'The head of the request is over its limit.'),
 
   upstreamFailed: code(200, 'upstreamFailed', 'outcomeUnknown', 'The upstream failed after the call was sent.'),
   deadlineExceeded: code(201, 'deadlineExceeded', 'outcomeUnknown', 'The deadline passed after the call was sent.'),
--- a/packages/daemon/src/core/gateway/adminServer.ts
+++ b/packages/daemon/src/core/gateway/adminServer.ts
@@ -1,5 +1,5 @@
 import { createServer, type Server, type ServerResponse } from 'node:http'
-import { splitAddress } from '../../utils/address.js'
+import { closeAtOnce, listenOn } from '../../utils/listen.js'
 import type { Metrics } from '../operators/metrics.js'
 
 /** Serves the metrics and a dump of the process's state. */
@@ -18,17 +18,12 @@
     return new AdminServer(metrics, dump)
   }
 
-  async listen (address: string): Promise<void> {
-    const { host, port } = splitAddress(address)
-    await new Promise<void>((resolve, reject) => {
-      this.server.once('error', reject)
-      this.server.listen({ host, port }, resolve)
-    })
+  listen (address: string): Promise<void> {
+    return listenOn(this.server, address)
   }
 
   close (): void {
-    this.server.close()
-    this.server.closeAllConnections()
+    closeAtOnce(this.server)
   }
 
   private async sendMetrics (response: ServerResponse): Promise<void> {
--- a/packages/daemon/src/core/gateway/callLog.ts
+++ b/packages/daemon/src/core/gateway/callLog.ts
@@ -57,6 +57,6 @@
 }
 
 function roundAll (basis: Attempt['basis']): Record<string, number | undefined> {
-  const entries = Object.entries(basis as unknown as Record<string, number | undefined>)
+  const entries = Object.entries(basis) as Array<[string, number | undefined]>
   return Object.fromEntries(entries.map(([name, value]) => [name, value === undefined ? undefined : round(value)]))
 }
--- a/packages/daemon/src/core/gateway/callerServer.ts
+++ b/packages/daemon/src/core/gateway/callerServer.ts
@@ -1,7 +1,7 @@
 import { createServer, type Server } from 'node:http'
 import { Server as NetServer, type AddressInfo, type Socket } from 'node:net'
 import type { CallerLimits } from '@cowsliplead/core/types/routes.js'
-import { splitAddress } from '../../utils/address.js'
+import { listenOn } from '../../utils/listen.js'
 import type { Proxy } from '../callers/proxy.js'
 
 /** Largest head that is read; the configuration bounds what is accepted below it. */
@@ -31,12 +31,8 @@
     return new CallerServer(proxy, limits)
   }
 
-  async listen (address: string): Promise<void> {
-    const { host, port } = splitAddress(address)
-    await new Promise<void>((resolve, reject) => {
-      this.server.once('error', reject)
-      this.server.listen({ host, port }, resolve)
-    })
+  listen (address: string): Promise<void> {
+    return listenOn(this.server, address)
   }
 
   /** The port that the server listens on. */
--- a/packages/daemon/src/core/gateway/gateway.ts
+++ b/packages/daemon/src/core/gateway/gateway.ts
@@ -18,6 +18,7 @@
 import { MonotonicClock } from './monotonicClock.js'
 import { retryBudgetOf } from './retryBudgetShare.js'
 import { ReadinessServer } from './readinessServer.js'
+import { GATEWAY_ROUTING } from './routingDefaults.js'
 import { SharedSuspects } from './sharedSuspects.js'
 
 /** Short against the shortest stall interval. */
@@ -193,5 +194,5 @@
 }
 
 function policyOf (settings: GatewaySettings): RoutingPolicy {
-  return { ...DEFAULT_ROUTING_POLICY, ...settings.routing, ...retryBudgetOf(settings.retryBudget) }
+  return { ...DEFAULT_ROUTING_POLICY, ...GATEWAY_ROUTING, ...settings.routing, ...retryBudgetOf(settings.retryBudget) }
 }
--- a/packages/daemon/src/core/gateway/gatewayServices.ts
+++ b/packages/daemon/src/core/gateway/gatewayServices.ts
@@ -92,6 +92,7 @@
   /** Where a caller's request goes, or why it goes nowhere. */
   route (request: IncomingMessage): RequestTarget | ResultCodeName {
     if (this.table === undefined) return 'notReady'
+    if (headBytes(request) > this.table.config.limits.maxHeaderBytes) return 'headTooLarge'
     const match = this.table.match(request.headers.host ?? '', request.url as string)
     if (match === undefined) return 'noService'
     const host = this.hosts.get(match.service)
@@ -152,3 +153,9 @@
     this.retired = this.retired.filter(host => !done.includes(host))
   }
 }
+
+/** Size of a request's head as it came on the wire. */
+function headBytes ({ method, url, rawHeaders }: IncomingMessage): number {
+  const separators = 2 * rawHeaders.length
+  return rawHeaders.reduce((sum, part) => sum + part.length, (method ?? '').length + (url ?? '').length + separators)
+}
--- a/packages/daemon/src/core/gateway/readinessServer.ts
+++ b/packages/daemon/src/core/gateway/readinessServer.ts
@@ -1,5 +1,5 @@
 import { createServer, type Server } from 'node:http'
-import { splitAddress } from '../../utils/address.js'
+import { closeAtOnce, listenOn } from '../../utils/listen.js'
 
 /** Answers the balancer's question whether this VM takes new connections. */
 export class ReadinessServer {
@@ -18,16 +18,11 @@
     return new ReadinessServer(path, unreadyReasons)
   }
 
-  async listen (address: string): Promise<void> {
-    const { host, port } = splitAddress(address)
-    await new Promise<void>((resolve, reject) => {
-      this.server.once('error', reject)
-      this.server.listen({ host, port }, resolve)
-    })
+  listen (address: string): Promise<void> {
+    return listenOn(this.server, address)
   }
 
   close (): void {
-    this.server.close()
-    this.server.closeAllConnections()
+    closeAtOnce(this.server)
   }
 }
--- a/packages/daemon/src/types/gatewaySettings.ts
+++ b/packages/daemon/src/types/gatewaySettings.ts
@@ -13,7 +13,6 @@
 export interface GatewaySettings {
   readonly vmId: string
   readonly failureDomain: string
-  readonly region: string
   /** Where callers connect. */
   readonly publicAddress: string
   /** Where the balancer asks for readiness. */
--- a/packages/daemon/src/utils/refusalStatus.ts
+++ b/packages/daemon/src/utils/refusalStatus.ts
@@ -9,6 +9,7 @@
   keyTableFull: 429,
   bodyTooLarge: 413,
   bodyTimeout: 408,
+  headTooLarge: 431,
   deadlineExceeded: 504
 }
 
