--- a/packages/core/src/core/dispatch/callEngine.ts
+++ b/packages/core/src/core/dispatch/callEngine.ts
@@ -87,25 +87,24 @@
     return clock.now() + typicalMs < state.call.deadlineAt
   }
 
-  /** Starts a hedge if an upstream with room is known. Returns whether it started. */
+  /** Starts a hedge if another upstream with room is known. Returns whether it started. */
   startHedge (state: CallState): boolean {
-    if (this.context.suspects.verdict(state.call.fingerprint, this.context.clock.now()) !== 'clear') return false
-    const choice = chooseUpstream(this.context, state, 'hedge')
+    const choice = this.chooseBeside(state, 'hedge')
     if (choice === undefined || state.triedUpstreams.has(choice.state.upstream.id)) return false
-    this.context.budget.spend()
     this.context.counters.hedges += 1
-    this.startOn(choice, state, 'hedge')
+    this.spendOn(choice, state, 'hedge')
     return true
   }
 
-  /** Starts an attempt in place of one that stalled, if an upstream with room is known. Returns whether it started. */
+  /**
+   * Starts an attempt in place of one that stalled, if an upstream with room is known: the same one, on a proven
+   * connection, where there is no other. Returns whether it started.
+   */
   startReplacement (state: CallState): boolean {
-    if (this.context.suspects.verdict(state.call.fingerprint, this.context.clock.now()) !== 'clear') return false
-    const choice = chooseUpstream(this.context, state, 'retry')
+    const choice = this.chooseBeside(state, 'retry')
     if (choice === undefined) return false
-    this.context.budget.spend()
     this.context.counters.retries += 1
-    this.startOn(choice, state, 'retry')
+    this.spendOn(choice, state, 'retry')
     return true
   }
 
@@ -241,10 +240,9 @@
     if (this.isHeldAsSuspect(state)) return true
     const choice = chooseUpstream(this.context, state, 'retry')
     if (choice === undefined) return false
-    this.context.budget.spend()
     this.context.counters.retries += 1
     this.leavePlace(state)
-    this.startOn(choice, state, 'retry')
+    this.spendOn(choice, state, 'retry')
     return true
   }
 
@@ -272,6 +270,17 @@
     return true
   }
 
+  /** A suspect request runs at one upstream at a time. */
+  private chooseBeside (state: CallState, purpose: AttemptPurpose): Choice | undefined {
+    const verdict = this.context.suspects.verdict(state.call.fingerprint, this.context.clock.now())
+    return verdict === 'clear' ? chooseUpstream(this.context, state, purpose) : undefined
+  }
+
+  private spendOn (choice: Choice, state: CallState, purpose: AttemptPurpose): void {
+    this.context.budget.spend()
+    this.startOn(choice, state, purpose)
+  }
+
   private startOn (choice: Choice, state: CallState, purpose: AttemptPurpose): void {
     const { context } = this
     const now = context.clock.now()
--- a/packages/daemon/src/types/settings.ts
+++ b/packages/daemon/src/types/settings.ts
@@ -11,8 +11,6 @@
   drainTimeoutMs: milliseconds.default(15 * 60_000),
   /** Longest time to establish a connection to an upstream. */
   connectTimeoutMs: milliseconds.default(1000),
-  /** Longest pause of an upstream within a streamed response. */
-  bodyStallMs: milliseconds.default(30_000),
   /** Longest time to receive a held request body, and longest pause of a caller within a streamed one. */
   requestBodyTimeoutMs: milliseconds.default(30_000),
   /** Time allowed for one exchange with the platform. */
