--- a/packages/core/__tests__/upstreamDirectory.test.ts
+++ b/packages/core/__tests__/upstreamDirectory.test.ts
@@ -1,5 +1,7 @@
 import { expect } from 'chai'
 import { UpstreamDirectory } from '../src/core/membership/upstreamDirectory.js'
+import type { Upstream } from '../src/types/upstream.js'
+import { Harness, upstreams } from './dispatcherHarness.js'
 import type { UpstreamEntry } from '../src/types/upstreamEntry.js'
 
 const RENEWAL_MS = 2000
@@ -17,6 +19,22 @@
   return directory
 }
 
+describe('upstreams that start again under their id', () => {
+  // Guards against a fresh process that stays ejected for what its predecessor did.
+  it('start without what was learned before', () => {
+    const harness = Harness.create(0, { ejectionCapacityShare: 1 })
+    const [upstream] = upstreams(1) as [Upstream]
+    harness.dispatcher.setUpstreams([{ ...upstream, incarnation: 1 }])
+    for (let i = 0; i < 6; i++) {
+      const id = harness.submit()
+      if (harness.started.some(({ callId }) => callId === id)) harness.end(harness.attemptOf(id), 'failed')
+    }
+    expect(harness.dispatcher.snapshot().upstreams[0]).to.include({ ejected: true })
+    harness.dispatcher.setUpstreams([{ ...upstream, incarnation: 2 }])
+    expect(harness.dispatcher.snapshot().upstreams[0]).to.include({ ejected: false, attempts: 0 })
+  })
+})
+
 describe('upstream directory', () => {
   // Guards against a delayed write that brings a drained upstream, or an earlier process of the same id, back.
   const older: Array<[string, UpstreamEntry]> = [
--- a/packages/core/src/core/health/upstreamTable.ts
+++ b/packages/core/src/core/health/upstreamTable.ts
@@ -119,7 +119,8 @@
 
   private put (upstream: Upstream, now: Milliseconds): void {
     const known = this.states.get(upstream.id)
-    if (known !== undefined) {
+    // A process that started again under its id knows nothing of before, and nothing learned of the former one holds.
+    if (known !== undefined && known.upstream.incarnation === upstream.incarnation) {
       known.upstream = upstream
       return
     }
--- a/packages/daemon/src/core/upstreams/upstreamConnections.ts
+++ b/packages/daemon/src/core/upstreams/upstreamConnections.ts
@@ -62,7 +62,7 @@
     const origin = originOf(upstream)
     const known = this.sets.get(upstream.id)
     if (known?.origin === origin) return known.set.configure(limit, provenMs)
-    // An id that comes back at another address is another process.
+    // An id that comes back at another address, or with another start, is another process.
     if (known !== undefined) this.remove(upstream.id)
     const { address: host, port } = upstream
     const { connectTimeoutMs } = this.limits
@@ -78,5 +78,5 @@
 
 function originOf (upstream: Upstream): string {
   const host = upstream.address.includes(':') ? `[${upstream.address}]` : upstream.address
-  return `http://${host}:${upstream.port}`
+  return `http://${host}:${upstream.port}#${upstream.incarnation ?? ''}`
 }
