--- a/packages/core/__tests__/upstreamDirectory.test.ts
+++ b/packages/core/__tests__/upstreamDirectory.test.ts
@@ -31,7 +31,7 @@
     }
     expect(harness.dispatcher.snapshot().upstreams[0]).to.include({ ejected: true })
     harness.dispatcher.setUpstreams([{ ...upstream, incarnation: 2 }])
-    expect(harness.dispatcher.snapshot().upstreams[0]).to.include({ ejected: false, attempts: 0 })
+    expect(harness.dispatcher.snapshot().upstreams[0]).to.include({ ejected: false, failures: 0, errorShare: 0 })
   })
 })
 
