--- a/packages/core/__tests__/draining.test.ts
+++ b/packages/core/__tests__/draining.test.ts
@@ -42,4 +42,25 @@
       expect(harness.dispatcher.drainingSeen()).to.deep.equal(firstHand ? [LEAVER] : [])
     })
   }
+
+  // Guards P5: trial calls went to an ejected upstream that was leaving (DRAIN in a hunt, trouble-1 --seed 1015723599747).
+  it('sends no trial calls to an ejected upstream that leaves', () => {
+    const harness = Harness.create(2, { ejectionCapacityShare: 1 })
+    harness.warmUp()
+    for (let i = 0; i < 8; i++) harness.submit()
+    for (const attempt of harness.started.filter(each => !harness.results.has(each.callId))) {
+      harness.end(attempt, attempt.upstreamId === LEAVER ? 'failed' : 'answered')
+    }
+    expect(harness.dispatcher.snapshot().upstreams.find(({ id }) => id === LEAVER)).to.include({ ejected: true })
+    harness.dispatcher.setUpstreams(upstreams(2).map(each => each.id === LEAVER ? { ...each, state: 'leaving' } : each))
+    const before = harness.started.length
+    harness.advance(5_000)
+    for (let i = 0; i < 20; i++) {
+      harness.submit()
+      for (const attempt of [...harness.started]) harness.end(attempt)
+      harness.advance(200)
+    }
+    expect(harness.started.length).to.be.greaterThan(before + 10)
+    expect(harness.started.slice(before).filter(each => each.upstreamId === LEAVER)).to.deep.equal([])
+  })
 })
--- a/packages/core/src/core/health/outlierDetector.ts
+++ b/packages/core/src/core/health/outlierDetector.ts
@@ -4,6 +4,7 @@
 import type { Counters } from '../dispatch/dispatchCounters.js'
 import type { ServiceModel } from '../routing/serviceModel.js'
 import type { UpstreamState } from './upstreamState.js'
+import { isDraining } from './upstreamTable.js'
 
 const ERROR_LEARNING_RATE = 0.2
 // Fewer results than this say nothing about a share of errors or a mean time.
@@ -62,9 +63,9 @@
     state.warmth = Math.min(1, Math.max(LEAST_WARMTH, warmMs / state.policy.slowStartMs))
   }
 
-  /** An ejected upstream that is due for a trial call. */
+  /** An ejected upstream that is due for a trial call; one that leaves takes no new work, trials included. */
   dueForTrial (now: Milliseconds): UpstreamState | undefined {
-    return this.all().find(state => state.isEjected && !state.isTrialRunning && state.nextTrialAt <= now)
+    return this.all().find(state => state.isEjected && !state.isTrialRunning && state.nextTrialAt <= now && !isDraining(state, now))
   }
 
   onTrialStart (state: UpstreamState, now: Milliseconds): void {
