--- a/packages/core/src/core/dispatch/attemptOutcomes.ts
+++ b/packages/core/src/core/dispatch/attemptOutcomes.ts
@@ -99,7 +99,7 @@
     if (end.bytes !== undefined) model.onAnswerSize(kind, end.bytes)
     judgeLatency(attempt, latencyMs, policy)
     const ratio = model.ratioOfLatency(kind, latencyMs)
-    const relativeTime = (attempt.relativeTime + model.relativeTimeOf(attempt.state, now)) / 2
+    const relativeTime = (attempt.attempt.basis.relativeTime + model.relativeTimeOf(attempt.state, now)) / 2
     model.onAnswer(kind, attempt.state, latencyMs, attempt.predictedWaitMs, now, relativeTime)
     attempt.state.adaptiveLimit.onLatency(latencyMs, attempt.state.inFlight + 1, policy)
     outliers.onSuccess(attempt.state, ratio, attempt.isTrial, now)
--- a/packages/core/src/core/dispatch/callEngine.ts
+++ b/packages/core/src/core/dispatch/callEngine.ts
@@ -299,7 +299,6 @@
       state: target,
       startedAt: now,
       predictedWaitMs: context.model.predictedWaitMs(target, now, target.reportTrust),
-      relativeTime: context.model.relativeTimeOf(target, now),
       reportedWaitMs: context.model.predictedWaitMs(target, now, 1),
       progressAt: now,
       timer: undefined,
--- a/packages/core/src/core/dispatch/callState.ts
+++ b/packages/core/src/core/dispatch/callState.ts
@@ -39,8 +39,6 @@
   readonly predictedWaitMs: Milliseconds
   /** The same if the report is taken at its word. */
   readonly reportedWaitMs: Milliseconds
-  /** How long work took at the upstream at the start, relative to its usual time. */
-  readonly relativeTime: number
   progressAt: Milliseconds
   timer: Timer | undefined
   readonly isTrial: boolean
--- a/packages/daemon/src/core/gateway/controlState.ts
+++ b/packages/daemon/src/core/gateway/controlState.ts
@@ -2,9 +2,10 @@
 import type { Clock, Milliseconds } from '@cowsliplead/core/types/clock.js'
 import type { RouteConfig } from '@cowsliplead/core/types/routes.js'
 import type { UpstreamEntry } from '@cowsliplead/core/types/upstreamEntry.js'
-import type { ControlStore, StoreFailure, TableRecord } from '../../types/controlStore.js'
+import type { ControlStore, TableRecord } from '../../types/controlStore.js'
 import type { Journal } from '../operators/journal.js'
 import type { GatewayServices } from './gatewayServices.js'
+import { logContact } from './contactLog.js'
 import { TableReader, type TableConsumer } from './tableReader.js'
 
 /** Key of the configuration in its table. */
@@ -81,12 +82,12 @@
 
   private configConsumer (): TableConsumer {
     const take = (records: readonly TableRecord[]): void => records.forEach(record => this.takeConfig(record))
-    return { ...this.contact('configuration'), onSnapshot: take, onChanges: take }
+    return { ...logContact(this.options.journal, 'configuration'), onSnapshot: take, onChanges: take }
   }
 
   private upstreamConsumer (): TableConsumer {
-    const { clock } = this.options
-    const contact = this.contact('upstreams')
+    const { clock, journal } = this.options
+    const contact = logContact(journal, 'upstreams')
     return {
       ...contact,
       onReturn: () => {
@@ -102,14 +103,6 @@
     }
   }
 
-  private contact (table: string): Pick<TableConsumer, 'onReturn' | 'onFailure'> {
-    const { journal } = this.options
-    return {
-      onReturn: () => journal.info('control store answers again', { table }),
-      onFailure: (failure: StoreFailure) => journal.warn('control store failed', { table, failure })
-    }
-  }
-
   private takeConfig (record: TableRecord): void {
     if (record.key !== CONFIGURATION_KEY) return
     const { store, services, journal } = this.options
--- a/packages/daemon/src/core/gateway/sharedSuspects.ts
+++ b/packages/daemon/src/core/gateway/sharedSuspects.ts
@@ -2,8 +2,10 @@
 import { z } from 'zod'
 import type { Clock, Milliseconds } from '@cowsliplead/core/types/clock.js'
 import type { SuspectMark } from '@cowsliplead/core/types/suspectMark.js'
-import type { ControlStore, StoreFailure, TableRecord } from '../../types/controlStore.js'
+import { parseJson } from '@cowsliplead/core/utils/parseJson.js'
+import type { ControlStore, TableRecord } from '../../types/controlStore.js'
 import type { Journal } from '../operators/journal.js'
+import { logContact } from './contactLog.js'
 import { TableReader, type TableConsumer } from './tableReader.js'
 
 /** Marks of this time share one write, and one read: a burst of lost connections marks many requests. */
@@ -97,14 +99,8 @@
   }
 
   private createConsumer (): TableConsumer {
-    const { journal } = this.options
     const take = (records: readonly TableRecord[]): void => this.take(records)
-    return {
-      onSnapshot: take,
-      onChanges: take,
-      onReturn: () => journal.info('control store answers again', { table: 'suspects' }),
-      onFailure: (failure: StoreFailure) => journal.warn('control store failed', { table: 'suspects', failure })
-    }
+    return { ...logContact(this.options.journal, 'suspects'), onSnapshot: take, onChanges: take }
   }
 
   private take (records: readonly TableRecord[]): void {
@@ -114,7 +110,7 @@
 
   private decode ({ key, value }: TableRecord): SuspectMark | undefined {
     if (value === undefined) return undefined
-    const record = RECORD.safeParse(parseJson(value)).data
+    const record = RECORD.safeParse(parseJson(value.toString('utf8'))).data
     if (record === undefined) return void this.options.journal.warn('mark of a suspect request cannot be read', { key })
     const { fingerprint, upstreamIds, validMs, writtenAt } = record
     // The store keeps the newest record of each key for good.
@@ -126,12 +122,3 @@
     return (this.options.timeOfDay ?? Date.now)()
   }
 }
-
-function parseJson (value: Buffer): unknown {
-  try {
-    return JSON.parse(value.toString('utf8'))
-  } catch {
-    // The caller logs the key.
-    return undefined
-  }
-}
