Set the expiry of lapsed upstreams again where its timer fires early

Cause: a VM whose link to the store returns holds upstreams that are missing for 2 s and removes them by a timer. The timer was armed once, and fired a fraction of a millisecond before the clock showed its time; the directory then held the entries on, and nothing looked again until another entry changed, 1 to 4 s later.

Ruled out: the entry coming back, a second outage (one "answers again" line), trial calls (the attempts are first attempts).

--- a/packages/core/src/core/membership/upstreamDirectory.ts
+++ b/packages/core/src/core/membership/upstreamDirectory.ts
@@ -81,6 +81,12 @@
     return missing.filter(id => this.remove(id, now) === 'removed')
   }
 
+  /** When upstreams whose entries are missing count as gone; undefined where no entry is missing. */
+  nextExpiryAt (): Milliseconds | undefined {
+    const isMissing = [...this.known.values()].some(({ missingSince }) => missingSince !== undefined)
+    return isMissing ? this.holdUntil : undefined
+  }
+
   /** Removes upstreams that did not renew their entry in time. Returns their ids. */
   expire (now: Milliseconds): string[] {
     if (now < this.holdUntil) return []
--- a/packages/daemon/src/core/gateway/controlState.ts
+++ b/packages/daemon/src/core/gateway/controlState.ts
@@ -17,6 +17,8 @@
 /** Pause between two reads of upstream entries, which change with every heartbeat. */
 const UPSTREAMS_PAUSE_MS: Milliseconds = 600
 
+const MIN_TIMER_MS: Milliseconds = 1
+
 /** What the control state is made of. */
 export interface ControlStateOptions {
   readonly store: ControlStore
@@ -93,7 +95,6 @@
       onReturn: () => {
         contact.onReturn()
         this.directory.onRegistryReturn(clock.now())
-        this.scheduleExpiry()
       },
       onSnapshot: records => this.takeAllUpstreams(records),
       onChanges: records => {
@@ -144,16 +145,21 @@
     journal.info('upstream changed', { upstream: record.key, change, service: entry?.service, incarnation: entry?.incarnation })
   }
 
-  /** Entries that were not renewed are gone even where no further change arrives. */
-  private scheduleExpiry (): void {
-    clearTimeout(this.expiryTimer)
-    this.expiryTimer = setTimeout(() => this.publishUpstreams(), this.options.renewalMs)
-  }
-
   private publishUpstreams (): void {
     const { clock, services, journal } = this.options
     const lapsed = this.directory.expire(clock.now())
     if (lapsed.length > 0) journal.info('upstreams did not renew their entries', { upstreams: lapsed })
     services.setUpstreams(this.directory.list())
+    this.scheduleExpiry()
+  }
+
+  /** Entries that were not renewed are gone even where no further change arrives. */
+  private scheduleExpiry (): void {
+    clearTimeout(this.expiryTimer)
+    const at = this.directory.nextExpiryAt()
+    if (at === undefined) return
+    // A timer may fire a little before the clock shows its time; it is then set again.
+    const delayMs = Math.max(Math.ceil(at - this.options.clock.now()), MIN_TIMER_MS)
+    this.expiryTimer = setTimeout(() => this.publishUpstreams(), delayMs)
   }
 }
