End a call whose retry the budget will not soon cover

A call whose attempt was shed waited for the retry budget until its deadline, behind others that used it up, although it had provably not run and its caller would have come again.

Change: the budget tells how long the next retry takes to earn; a call waits for it at most an eighth of its target and is refused at once otherwise, also when the budget runs out while it waits for room.

--- a/packages/core/src/core/dispatch/callEngine.ts
+++ b/packages/core/src/core/dispatch/callEngine.ts
@@ -16,6 +16,9 @@
 import type { UpstreamState } from '../health/upstreamState.js'
 import { chooseUpstream, type Choice } from '../routing/upstreamChoice.js'
 
+/** Share of a call's target time that it may wait for the retry budget. */
+const BUDGET_PATIENCE_SHARE = 1 / 8
+
 /** Moves calls between waiting, running and finished. */
 export class CallEngine implements AttemptControl {
   readonly attempts = new Map<number, AttemptState>()
@@ -45,7 +48,7 @@
     const { context } = this
     const state = createCallState(call)
     context.counters.calls += 1
-    context.budget.onCall()
+    context.budget.onCall(context.clock.now())
     this.calls.set(call.id, state)
     state.deadlineTimer = context.timers.schedule(call.deadlineAt, () => this.onDeadline(state))
     this.admit(state)
@@ -72,9 +75,12 @@
     this.scheduleRecheck()
   }
 
-  /** Repeats the call if that is allowed, else ends it. Without budget it waits for the budget until its deadline. */
+  /**
+   * Repeats the call if that is allowed and the budget will soon cover it, else ends it: a caller that is told at once
+   * can still try again, one that waits for a budget which other calls use up cannot.
+   */
   retryOrFinish (state: CallState, code: ResultCodeName): void {
-    if (!this.mayRetry(state)) return this.finish(state, resultWithoutAnswer(state, code))
+    if (!this.mayRetry(state) || this.isBudgetFar(state)) return this.finish(state, resultWithoutAnswer(state, code))
     state.place = 'awaitingRetry'
     this.retries.push(state)
     this.startBefore(state, () => resultWithoutAnswer(state, code))
@@ -236,7 +242,12 @@
 
   private startRetry (): boolean {
     const state = this.retries[0]
-    if (state === undefined || !this.context.budget.canRetry()) return false
+    if (state === undefined) return false
+    if (this.isBudgetFar(state)) {
+      this.finish(state, resultWithoutAnswer(state, state.lastCode ?? 'shed'))
+      return true
+    }
+    if (!this.context.budget.canRetry()) return false
     if (this.isHeldAsSuspect(state)) return true
     const choice = chooseUpstream(this.context, state, 'retry')
     if (choice === undefined) return false
@@ -246,6 +257,12 @@
     return true
   }
 
+  /** Whether the next retry takes longer to earn than a caller should be kept waiting for it. */
+  private isBudgetFar ({ call }: CallState): boolean {
+    const patienceMs = ((call.targetAt ?? call.deadlineAt) - call.arrivedAt) * BUDGET_PATIENCE_SHARE
+    return this.context.budget.expectedWaitMs() > patienceMs
+  }
+
   private startQueued (): boolean {
     const { context } = this
     const state = context.queue.next()
