Guess usual times from targets until the first answer

It took work for 5 ms long, the guess before the first answer, so that every call seemed to start in time; work takes 220 ms there.

Change: until the first response, a kind's usual time is guessed from its target (0.4 of it).

Test: coldStart.test.ts fails before (no call is refused on arrival, 50 wait).

--- a/packages/core/src/core/dispatch/callEngine.ts
+++ b/packages/core/src/core/dispatch/callEngine.ts
@@ -49,6 +49,7 @@
     const state = createCallState(call)
     context.counters.calls += 1
     context.budget.onCall(context.clock.now())
+    context.model.onCall(call.kind)
     this.calls.set(call.id, state)
     state.deadlineTimer = context.timers.schedule(call.deadlineAt, () => this.onDeadline(state))
     this.admit(state)
--- a/packages/core/src/core/routing/serviceModel.ts
+++ b/packages/core/src/core/routing/serviceModel.ts
@@ -11,6 +11,8 @@
 const SMALLEST_RATIO = 0.05
 const KIND_LEARNING_RATE = 0.02
 const FIRST_GUESS_MS = 5
+// Work usually takes this share of the time within which an answer is of full use.
+const USUAL_TARGET_SHARE = 0.4
 
 const ANSWER_SIZE_LEARNING_RATE = 0.1
 const RELATIVE_TIME_LEARNING_RATE = 0.02
@@ -28,6 +30,8 @@
 export class ServiceModel {
   private readonly kinds = new Map<string, KindModel>()
   private meanMs: Milliseconds | undefined
+  /** Mean of the usual times of the kinds seen before the first response. */
+  private guessMs: Milliseconds | undefined
   /** Mean of the relative times in reports. */
   private meanRelativeTime = 1
 
@@ -43,7 +47,16 @@
 
   /** Mean time in a slot over all kinds; a guess before the first response. */
   meanServiceMs (): Milliseconds {
-    return this.meanMs ?? FIRST_GUESS_MS
+    return this.meanMs ?? this.guessMs ?? FIRST_GUESS_MS
+  }
+
+  /**
+   * A call arrived. Until the first response, targets tell how long work takes: a VM that started amid a backlog would
+   * otherwise let far more calls wait than it can serve in time.
+   */
+  onCall (kind: RequestKind): void {
+    if (this.meanMs !== undefined || kind.targetMs === undefined) return
+    this.guessMs = mix(this.guessMs ?? usualMs(kind.targetMs), usualMs(kind.targetMs), KIND_LEARNING_RATE)
   }
 
   /** Quantile of a kind's attempt latency; undefined before `minSamples` responses. */
@@ -126,7 +139,8 @@
 
   /** Mean time of `kind` in a slot. */
   kindMs (kind: RequestKind): Milliseconds {
-    return this.kinds.get(kind.name)?.baseMs ?? this.meanServiceMs()
+    const { targetMs } = kind
+    return this.kinds.get(kind.name)?.baseMs ?? (targetMs === undefined ? this.meanServiceMs() : usualMs(targetMs))
   }
 
   /** Brings `state.serviceTimeMs` up to date; called before the state is shown to a picker. */
@@ -161,6 +175,10 @@
   }
 }
 
+function usualMs (targetMs: Milliseconds): Milliseconds {
+  return targetMs * USUAL_TARGET_SHARE
+}
+
 function mix (current: number, sample: number, weight: number): number {
   return current + (sample - current) * weight
 }
