Give an upstream that joined its first call beside another one

Donated VMs must simply take work.

Change: once such an upstream is warm, by its own word and by the slow start, one idempotent call is sent to it as a hedge beside the upstream of choice, within the budget.

--- a/packages/core/__tests__/dispatcherHarness.ts
+++ b/packages/core/__tests__/dispatcherHarness.ts
@@ -37,13 +37,14 @@
   readonly dispatcher: Dispatcher
   private nextCallId = 1
 
-  private constructor (policy: RoutingPolicy, picker: Picker) {
+  private constructor (policy: RoutingPolicy, picker: Picker, failureDomain?: string) {
     this.dispatcher = Dispatcher.create({
       service: 'register',
       clock: this.clock,
       random: SeededRandom.create(7),
       picker,
       policy,
+      failureDomain,
       port: {
         startAttempt: attempt => this.started.push(attempt),
         cancelAttempt: (id, reason) => this.cancelled.push({ id, reason }),
@@ -54,8 +55,10 @@
     })
   }
 
-  static create (count: number, policy: Partial<RoutingPolicy> = {}, picker: Picker = ExpectedDelayPicker.create()): Harness {
-    const harness = new Harness({ ...DEFAULT_ROUTING_POLICY, ...policy }, picker)
+  /** `failureDomain` is the VM's own one; domains are all alike where it is absent. */
+  static create (count: number, policy: Partial<RoutingPolicy> = {}, picker?: Picker, failureDomain?: string): Harness {
+    const whole = { ...DEFAULT_ROUTING_POLICY, ...policy }
+    const harness = new Harness(whole, picker ?? ExpectedDelayPicker.create(failureDomain === undefined ? undefined : whole), failureDomain)
     harness.dispatcher.setUpstreams(upstreams(count))
     return harness
   }
--- a/packages/core/src/core/dispatch/callEngine.ts
+++ b/packages/core/src/core/dispatch/callEngine.ts
@@ -14,7 +14,7 @@
 import { withRetryAfter } from '../limits/retryAfter.js'
 import type { RoutingContext } from './routingContext.js'
 import type { UpstreamState } from '../health/upstreamState.js'
-import { chooseUpstream, type Choice } from '../routing/upstreamChoice.js'
+import { chooseUpstream, findNewcomer, type Choice } from '../routing/upstreamChoice.js'
 
 /** Share of a call's target time that it may wait for the retry budget. */
 const BUDGET_PATIENCE_SHARE = 1 / 8
@@ -279,9 +279,23 @@
     context.queue.depart(state, context.clock.now())
     this.leavePlace(state)
     this.startOn(choice, state, 'first')
+    this.introduceNewcomer(state)
     return true
   }
 
+  /** Gives an upstream that joined its first call beside another one, which answers in time if the new one is still slow. */
+  private introduceNewcomer (state: CallState): void {
+    const { kind, replayable, fingerprint } = state.call
+    const { budget, suspects, clock } = this.context
+    if (!kind.idempotent || !kind.hedgeable || !replayable || state.place !== 'running') return
+    if (!budget.canHedge() || state.started >= this.context.maxAttempts(kind)) return
+    if (suspects.verdict(fingerprint, clock.now()) !== 'clear') return
+    const newcomer = findNewcomer(this.context, state)
+    if (newcomer === undefined) return
+    this.context.counters.hedges += 1
+    this.spendOn({ state: newcomer, isTrial: false }, state, 'hedge')
+  }
+
   private refuseWithoutTakers (state: CallState): boolean {
     if (this.context.table.hasTakers(this.context.clock.now())) return false
     this.finish(state, { kind: 'notRun', code: 'noUpstream' })
--- a/packages/core/src/core/health/upstreamTable.ts
+++ b/packages/core/src/core/health/upstreamTable.ts
@@ -12,7 +12,6 @@
   private sorted: UpstreamState[] = []
   private entryRank = 0
   private entryCount = 1
-  private populated = false
   private exceptions = NO_POLICY_EXCEPTIONS.upstreams
 
   private constructor (private policy: RoutingPolicy) {}
@@ -43,7 +42,6 @@
       if (!listed.has(id)) this.states.delete(id)
     }
     for (const upstream of upstreams) this.put(upstream, now)
-    this.populated = true
     this.arrange()
   }
 
@@ -124,11 +122,15 @@
       known.upstream = upstream
       return
     }
-    // Upstreams of the first list are taken to be warm: a restarted entry VM must not throttle a whole service.
-    const warmSince = this.populated ? now : -Infinity
+    // Upstreams known before the first call are taken to be warm: a restarted entry VM must not throttle a whole service.
+    const warmSince = this.hasServed() ? now : -Infinity
     this.states.set(upstream.id, UpstreamState.create(upstream, warmSince, AdaptiveLimit.create(this.policy), this.policyOf(upstream.id)))
   }
 
+  private hasServed (): boolean {
+    return this.sorted.some(({ attempts }) => attempts > 0)
+  }
+
   private policyOf (upstreamId: string): RoutingPolicy {
     return this.exceptions.get(upstreamId) ?? this.policy
   }
--- a/packages/core/src/core/routing/upstreamChoice.ts
+++ b/packages/core/src/core/routing/upstreamChoice.ts
@@ -27,6 +27,16 @@
   return target === undefined ? undefined : { state: target, isTrial: false }
 }
 
+/**
+ * An upstream that joined and got no call until it was warm. Where others are always free, nobody would find out that it
+ * works.
+ */
+export function findNewcomer (context: RoutingContext, state: CallState): UpstreamState | undefined {
+  const now = context.clock.now()
+  return context.table.candidates(now, state.triedUpstreams).find(({ attempts, warmth, warmSince, upstream }) =>
+    attempts === 0 && warmth >= 1 && warmSince !== -Infinity && now >= (upstream.warmAt ?? 0))
+}
+
 /** The best upstreams for a call by what is known now, best first. */
 export function rankUpstreams (context: RoutingContext, state: CallState, count: number): readonly UpstreamView[] {
   const now = context.clock.now()
