Read upstreams every 900 ms and hand on only what changed

Each read also handed all upstreams to all dispatchers, although heartbeats change nothing but their number.

Change: a pause of 900 ms; a heartbeat that says nothing new is "renewed" and not handed on, and does not move the end of the warm-up. An upstream that leaves is known 0.9 s after the store's word, within the two seconds allowed with one failed read.

Test: upstreamDirectory.test.ts fails before.

--- a/packages/core/__tests__/upstreamDirectory.test.ts
+++ b/packages/core/__tests__/upstreamDirectory.test.ts
@@ -61,6 +61,18 @@
     expect(directory.put(entry({ incarnation: 101, sequence: 0 }), 0)).to.equal('restarted')
   })
 
+  // Guards against upstreams that are handed to every dispatcher anew with each heartbeat, and against a warm-up that
+  // begins anew with it.
+  it('tells a heartbeat that changes nothing from a change', () => {
+    const directory = UpstreamDirectory.create({ renewalMs: RENEWAL_MS })
+    directory.put(entry({ warmupLeftMs: 3000 }), 0)
+    const listed = directory.list()
+    expect(directory.put(entry({ sequence: 6, warmupLeftMs: 2500 }), 1000)).to.equal('renewed')
+    expect(directory.list()).to.equal(listed)
+    expect(listed[0]?.warmAt).to.equal(3000)
+    expect(directory.put(entry({ sequence: 7, slots: 5 }), 1000)).to.equal('updated')
+  })
+
   // Guards against dropping all upstreams whose entries lapsed while the registry was away.
   it('holds entries that are missing after an outage until they could be renewed', () => {
     const directory = createDirectory()
--- a/packages/core/src/core/membership/upstreamDirectory.ts
+++ b/packages/core/src/core/membership/upstreamDirectory.ts
@@ -16,7 +16,7 @@
 }
 
 /** What a change of the registry did to an upstream. */
-export type DirectoryChange = 'added' | 'updated' | 'restarted' | 'draining' | 'removed' | 'held' | 'ignored'
+export type DirectoryChange = 'added' | 'updated' | 'renewed' | 'restarted' | 'draining' | 'removed' | 'held' | 'ignored'
 
 /**
  * Upstreams by their registry entries. Entries of an older incarnation, or of an earlier heartbeat of the same one,
@@ -54,9 +54,10 @@
   put (entry: UpstreamEntry, now: Milliseconds): DirectoryChange {
     const known = this.known.get(entry.id)
     if (known !== undefined && isOlder(entry, known.entry)) return 'ignored'
-    const change = changeOf(known?.entry, entry)
-    this.known.set(entry.id, { entry, warmAt: now + entry.warmupLeftMs, missingSince: undefined })
-    this.listed = undefined
+    const change = changeOf(known, entry)
+    const warmAt = change === 'renewed' ? (known as Known).warmAt : now + entry.warmupLeftMs
+    this.known.set(entry.id, { entry, warmAt, missingSince: undefined })
+    if (change !== 'renewed') this.listed = undefined
     return change
   }
 
@@ -104,10 +105,18 @@
   return known.state === 'leaving' && entry.state === 'live'
 }
 
-function changeOf (known: UpstreamEntry | undefined, entry: UpstreamEntry): DirectoryChange {
+function changeOf (known: Known | undefined, entry: UpstreamEntry): DirectoryChange {
   if (known === undefined) return 'added'
-  if (known.incarnation !== entry.incarnation) return 'restarted'
-  return known.state === 'live' && entry.state === 'leaving' ? 'draining' : 'updated'
+  const before = known.entry
+  if (before.incarnation !== entry.incarnation) return 'restarted'
+  if (before.state === 'live' && entry.state === 'leaving') return 'draining'
+  return isSame(before, entry) ? 'renewed' : 'updated'
+}
+
+/** Whether a heartbeat says nothing new; the time left until an upstream is warm runs by itself. */
+function isSame (one: UpstreamEntry, other: UpstreamEntry): boolean {
+  return one.service === other.service && one.address === other.address && one.port === other.port &&
+    one.failureDomain === other.failureDomain && one.slots === other.slots && one.state === other.state
 }
 
 function toUpstream ({ entry, warmAt }: Known): Upstream {
--- a/packages/daemon/src/core/control/controlState.ts
+++ b/packages/daemon/src/core/control/controlState.ts
@@ -1,4 +1,4 @@
-import { UpstreamDirectory } from '@cowsliplead/core/core/membership/upstreamDirectory.js'
+import { UpstreamDirectory, type DirectoryChange } from '@cowsliplead/core/core/membership/upstreamDirectory.js'
 import type { Clock, Milliseconds } from '@cowsliplead/core/types/clock.js'
 import type { RouteConfig } from '@cowsliplead/core/types/routes.js'
 import type { Upstream } from '@cowsliplead/core/types/upstream.js'
@@ -15,8 +15,11 @@
 /** Longest wait of a read for a new configuration: a connection that went silent delays a change by no more. */
 const CONFIGURATION_WAIT_MS: Milliseconds = 2000
 
-/** Pause between two reads of upstream entries, which change with every heartbeat. */
-const UPSTREAMS_PAUSE_MS: Milliseconds = 600
+/**
+ * Pause between two reads of upstream entries, which change with every heartbeat. Each read has its price, and an upstream
+ * that leaves must be known within two seconds, a failed read included.
+ */
+const UPSTREAMS_PAUSE_MS: Milliseconds = 900
 
 const MIN_TIMER_MS: Milliseconds = 1
 
@@ -112,8 +115,9 @@
       },
       onSnapshot: records => this.takeAllUpstreams(records),
       onChanges: records => {
-        for (const record of records) this.takeUpstream(record)
-        this.publishUpstreams()
+        const changes = records.map(record => this.takeUpstream(record))
+        // Most records are heartbeats that change nothing.
+        if (changes.some(change => change !== 'renewed' && change !== 'ignored')) this.publishUpstreams()
       }
     }
   }
@@ -150,13 +154,15 @@
     this.publishUpstreams()
   }
 
-  private takeUpstream (record: TableRecord): void {
+  private takeUpstream (record: TableRecord): DirectoryChange {
     const { store, clock, journal } = this.options
     const now = clock.now()
     const entry = record.value === undefined ? undefined : store.decodeUpstream(record)
     const change = entry === undefined ? this.directory.remove(record.key, now) : this.directory.put(entry, now)
-    if (change === 'updated' || change === 'ignored') return
-    journal.info('upstream changed', { upstream: record.key, change, service: entry?.service, incarnation: entry?.incarnation })
+    if (change !== 'renewed' && change !== 'ignored') {
+      journal.info('upstream changed', { upstream: record.key, change, service: entry?.service, incarnation: entry?.incarnation })
+    }
+    return change
   }
 
   private publishUpstreams (): void {
