Wait at the store for changes of the upstreams instead of asking every 900 ms

Cause: the log of a DRAIN finding showed no record of the upstreams' table for six seconds: heartbeats that change nothing do not make records. A read that waits is then both cheaper and sooner than one every 900 ms.

Change: reads wait 1.5 s for a change, with a pause of 300 ms after each, so that a platform whose heartbeats do make records is asked at most three times a second.

--- a/packages/daemon/src/core/control/controlState.ts
+++ b/packages/daemon/src/core/control/controlState.ts
@@ -16,10 +16,13 @@
 const CONFIGURATION_WAIT_MS: Milliseconds = 2000
 
 /**
- * Pause between two reads of upstream entries, which change with every heartbeat. Each read has its price, and an upstream
- * that leaves must be known within two seconds, a failed read included.
+ * Longest wait of a read for a change of the upstreams. An upstream that leaves must be known within seconds, also where
+ * the connection of a read has gone silent.
  */
-const UPSTREAMS_PAUSE_MS: Milliseconds = 900
+const UPSTREAMS_WAIT_MS: Milliseconds = 1500
+
+/** Pause between two reads of the upstreams: each read has its price, and changes come in groups. */
+const UPSTREAMS_PAUSE_MS: Milliseconds = 300
 
 const MIN_TIMER_MS: Milliseconds = 1
 
@@ -57,7 +60,7 @@
       store, clock, table: 'configuration', consumer: this.configConsumer(), waitMs: CONFIGURATION_WAIT_MS, pauseMs: 0
     })
     this.upstreamReader = TableReader.create({
-      store, clock, table: 'upstreams', consumer: this.upstreamConsumer(), waitMs: 0, pauseMs: UPSTREAMS_PAUSE_MS
+      store, clock, table: 'upstreams', consumer: this.upstreamConsumer(), waitMs: UPSTREAMS_WAIT_MS, pauseMs: UPSTREAMS_PAUSE_MS
     })
   }
 
