--- a/packages/bench/src/core/capacity/controlCost.ts
+++ b/packages/bench/src/core/capacity/controlCost.ts
@@ -21,6 +21,9 @@
 const MEASURED_MS = 6000
 const RENEWAL_MS = 2000
 
+/** Whether upstreams write their entries anew with each heartbeat, or only where something changes. */
+type Registry = 'heartbeats' | 'changes'
+
 interface ControlRates {
   readonly callsPerVmSecond: number
   readonly bytesPerVmSecond: number
@@ -28,15 +31,18 @@
 
 /** What following the tables costs each VM, against the number of VMs and of upstreams. */
 export async function measureControl (): Promise<Measurement[]> {
-  const byVms: ControlRates[] = []
-  for (const count of VMS) byVms.push(await measureRates(count, USUAL_UPSTREAMS))
-  const byUpstreams: ControlRates[] = []
-  for (const count of UPSTREAMS) byUpstreams.push(await measureRates(USUAL_VMS, count))
-  return [
-    createMeasurement('Control: calls to the store per VM', '1/s', 'entry VMs', VMS, byVms.map(({ callsPerVmSecond }) => callsPerVmSecond)),
-    createMeasurement('Control: bytes read per VM', 'bytes/s', 'entry VMs', VMS, byVms.map(({ bytesPerVmSecond }) => bytesPerVmSecond)),
-    createMeasurement('Control: bytes read per VM', 'bytes/s', 'upstreams', UPSTREAMS, byUpstreams.map(({ bytesPerVmSecond }) => bytesPerVmSecond))
-  ]
+  const measurements: Measurement[] = []
+  for (const registry of ['changes', 'heartbeats'] as const) {
+    const rates: ControlRates[] = []
+    for (const count of VMS) rates.push(await measureRates(count, USUAL_UPSTREAMS, registry))
+    const calls = rates.map(({ callsPerVmSecond }) => callsPerVmSecond)
+    measurements.push(createMeasurement(`Control: calls to the store per VM, entries written with ${registry}`, '1/s', 'entry VMs', VMS, calls))
+  }
+  const rates: ControlRates[] = []
+  for (const count of UPSTREAMS) rates.push(await measureRates(USUAL_VMS, count, 'heartbeats'))
+  const bytes = rates.map(({ bytesPerVmSecond }) => bytesPerVmSecond)
+  measurements.push(createMeasurement('Control: bytes read per VM, entries written with heartbeats', 'bytes/s', 'upstreams', UPSTREAMS, bytes))
+  return measurements
 }
 
 function createMeasurement (name: string, unit: string, sizeOf: string, sizes: readonly number[], values: readonly number[]): Measurement {
@@ -44,9 +50,10 @@
   return { name, unit, sizeOf, points, line: fitLine(points) }
 }
 
-async function measureRates (vms: number, upstreams: number): Promise<ControlRates> {
+async function measureRates (vms: number, upstreams: number, registry: Registry): Promise<ControlRates> {
   const standin = await StoreStandin.start()
   const heartbeats = startHeartbeats(standin, upstreams)
+  if (registry === 'changes') clearInterval(heartbeats)
   const stops = await Promise.all(Array.from({ length: vms }, () => startVm(standin)))
   await delay(WARM_UP_MS)
   const before = standin.usage
@@ -66,7 +73,7 @@
   }
 }
 
-/** Upstreams renew their entries one after the other. */
+/** Upstreams write their entries, and renew them one after the other. */
 function startHeartbeats (standin: StoreStandin, upstreams: number): NodeJS.Timeout {
   let beats = 0
   const beat = (): void => {
