Share the first mark of a burst at once, and model what daemons share today

Cause: the decisions model still let VMs exchange draining notices and marks of crashing requests within a millisecond. Daemons have not done so since the exchange was removed; marks go through the store, and waited 500 ms for a batch there.

Change: the first mark of a burst is written at once, further ones each 500 ms. The model shares marks in the same way and draining notices not at all; what only the exchange used is removed from the dispatcher (markDraining, drainingSeen, exportSuspects), and comments no longer speak of peers and of the VM list.

Tests: sharedSuspects.test.ts fails before. The draining and suspect tests keep their cases but that of the removed exchange; a cleared suspect is now shown by a call that starts beside another one.

--- a/packages/bench/src/core/decisions/dispatcherFleet.ts
+++ b/packages/bench/src/core/decisions/dispatcherFleet.ts
@@ -7,18 +7,21 @@
 import { RUN_START } from '../../utils/eventQueue.js'
 import type { Callers, Decider } from './callers.js'
 import type { BenchPolicy } from './policies.js'
-import { DELAY_BETWEEN_DOMAINS_MS, type Exchange, type Transport } from './transport.js'
+import type { Exchange, Transport } from './transport.js'
 
 /** Time until the registry tells the dispatchers of a change. */
-const VM_LIST_LAG_MS = 300
+const REGISTRY_LAG_MS = 300
 
-/** Each VM sends to this many peers once per interval, as in the exchange among daemons. */
-const EXCHANGE_INTERVAL_MS = 1000
-const EXCHANGE_FAN_OUT = 3
+/** Time until a mark has been written to the store and read by the other VMs, as long as marks are rare. */
+const SHARE_DELAY_MS = 10
+/** Time between two writes of marks by one VM. */
+const SHARE_INTERVAL_MS = 500
 
 /** One dispatcher per entry VM. */
 export class DispatcherFleet implements Decider {
   private readonly hosts: EntryHost[] = []
+  /** When each VM writes its newest marks. */
+  private readonly writtenAt = new Map<number, number>()
 
   private constructor (private readonly cell: Cell, private readonly transport: Transport) {}
 
@@ -30,7 +33,6 @@
     fleet.publishEntries(cell.entryCount)
     fleet.publishUpstreams()
     fleet.scheduleListChanges()
-    for (const entry of fleet.hosts.keys()) fleet.scheduleExchange(entry, EXCHANGE_INTERVAL_MS * entry / cell.entryCount)
     return fleet
   }
 
@@ -40,7 +42,7 @@
 
   loseEntry (entry: number): void {
     this.hosts[entry]!.lose()
-    this.after(VM_LIST_LAG_MS, () => this.publishEntries(this.cell.entryCount - 1))
+    this.after(REGISTRY_LAG_MS, () => this.publishEntries(this.cell.entryCount - 1))
   }
 
   private after (delayMs: number, action: () => void): void {
@@ -52,38 +54,19 @@
     const instants = new Set<number>()
     for (const plan of this.cell.plans) {
       if (plan.joinAt > 0) instants.add(plan.joinAt)
-      if (plan.drainFrom < Infinity) instants.add(plan.drainFrom + VM_LIST_LAG_MS)
+      if (plan.drainFrom < Infinity) instants.add(plan.drainFrom + REGISTRY_LAG_MS)
     }
     for (const instant of instants) this.transport.events.schedule(instant, () => this.publishUpstreams())
   }
 
-  /** Draining upstreams and suspect requests are passed to peers in turn; VMs send at staggered times. */
-  private scheduleExchange (entry: number, at: number): void {
-    this.transport.events.schedule(at, () => {
-      const round = Math.round(at / EXCHANGE_INTERVAL_MS)
-      for (let step = 0; step < EXCHANGE_FAN_OUT; step += 1) {
-        const offset = 1 + (EXCHANGE_FAN_OUT * round + step) % (this.hosts.length - 1 || 1)
-        this.exchange(this.hosts[entry]!, this.hosts[(entry + offset) % this.hosts.length]!)
-      }
-      if (at < this.cell.endAt) this.scheduleExchange(entry, at + EXCHANGE_INTERVAL_MS)
-    })
-  }
-
-  private exchange (from: EntryHost, to: EntryHost): void {
-    if (from === to) return
-    from.update(sender => {
-      const draining = sender.drainingSeen()
-      const suspects = sender.exportSuspects()
-      this.after(DELAY_BETWEEN_DOMAINS_MS, () => to.update(receiver => {
-        for (const upstreamId of draining) receiver.markDraining(upstreamId)
-        receiver.importSuspects(suspects)
-      }))
-    })
-  }
-
-  /** Marks of suspect requests go to every peer at once. */
+  /** Marks of suspect requests reach the other VMs through the store: the first of a burst at once, the others in batches. */
   private share (from: number, marks: readonly SuspectMark[]): void {
-    this.after(DELAY_BETWEEN_DOMAINS_MS, () => {
+    const now = this.transport.events.now()
+    const last = this.writtenAt.get(from) ?? -Infinity
+    // A write that is due later takes along all marks that are made until then.
+    const writtenAt = last > now ? last : Math.max(now, last + SHARE_INTERVAL_MS)
+    this.writtenAt.set(from, writtenAt)
+    this.after(writtenAt - now + SHARE_DELAY_MS, () => {
       for (const [entry, host] of this.hosts.entries()) {
         if (entry !== from) host.update(receiver => receiver.importSuspects(marks))
       }
@@ -109,7 +92,7 @@
     port: 1,
     failureDomain: plan.failureDomain,
     slots: plan.slots,
-    state: now >= plan.drainFrom + VM_LIST_LAG_MS ? 'leaving' : 'live'
+    state: now >= plan.drainFrom + REGISTRY_LAG_MS ? 'leaving' : 'live'
   }
 }
 
--- a/packages/core/__tests__/draining.test.ts
+++ b/packages/core/__tests__/draining.test.ts
@@ -5,28 +5,24 @@
 
 interface Signal {
   readonly name: string
-  readonly firstHand: boolean
   give (harness: Harness): void
 }
 
 const SIGNALS: Signal[] = [
   {
-    name: 'the VM list',
-    firstHand: true,
+    name: 'the registry',
     give: harness => harness.dispatcher.setUpstreams(upstreams(2).map(each => each.id === LEAVER ? { ...each, state: 'leaving' } : each))
   },
   {
     name: 'a report on a response',
-    firstHand: true,
     give: harness => harness.end(harness.started.find(each => each.upstreamId === LEAVER)!, 'answered', { report: harness.report({ draining: true }) })
   },
-  { name: 'a probe', firstHand: true, give: harness => harness.dispatcher.onProbeReport(LEAVER, harness.report({ draining: true })) },
-  { name: 'a peer', firstHand: false, give: harness => harness.dispatcher.markDraining(LEAVER) }
+  { name: 'a probe', give: harness => harness.dispatcher.onProbeReport(LEAVER, harness.report({ draining: true })) }
 ]
 
 describe('draining', () => {
-  for (const { name, firstHand, give } of SIGNALS) {
-    // Guards P5 and P6, and against notices that peers pass back and forth for ever.
+  for (const { name, give } of SIGNALS) {
+    // Guards P5 and P6.
     it(`stops new work at once when told by ${name}, and lets attempts end`, () => {
       const harness = Harness.create(2)
       const ids = Array.from({ length: 6 }, () => harness.submit())
@@ -39,7 +35,7 @@
       harness.end(rest)
       expect(harness.results.get(rest.callId)?.kind).to.equal('delivered')
       expect(ids).to.include(rest.callId)
-      expect(harness.dispatcher.drainingSeen()).to.deep.equal(firstHand ? [LEAVER] : [])
+      expect(harness.dispatcher.snapshot().upstreams.find(({ id }) => id === LEAVER)).to.include({ draining: true })
     })
   }
 
--- a/packages/core/__tests__/suspects.test.ts
+++ b/packages/core/__tests__/suspects.test.ts
@@ -50,10 +50,12 @@
     expect(harness.started.some(each => each.callId === parked)).to.equal(false)
     harness.end(harness.attemptOf(first))
     expect(harness.started.some(each => each.callId === parked)).to.equal(true)
-    expect(harness.dispatcher.exportSuspects()).to.deep.equal([])
+    // With a mark left, it would wait for the one under way.
+    const another = harness.submit(LOOKUP, POISON)
+    expect(harness.started.some(each => each.callId === another)).to.equal(true)
   })
 
-  // Guards against a caller that repeats the request on VMs that learn of the mark only in the next exchange.
+  // Guards against a caller that repeats the request at VMs that learn of the mark late.
   it('hands every mark to the host at once', () => {
     const [one, other] = [Harness.create(6), Harness.create(6)]
     one.warmUp()
@@ -96,19 +98,20 @@
     expect(harness.dispatcher.snapshot().counters.ejections).to.equal(0)
   })
 
-  // Guards against each VM losing two upstreams to the same request, and against marks that circulate for ever.
-  it('counts crashes that peers saw, until they expire at the origin', () => {
+  // Guards against each VM losing two upstreams to the same request, and against marks that never expire.
+  it('counts crashes that other VMs saw, until they expire at the origin', () => {
     const [one, other] = [Harness.create(6), Harness.create(6)]
     for (const harness of [one, other]) {
       harness.warmUp()
       const id = harness.submit(FEE, POISON)
       harness.end(harness.attemptOf(id), 'crashed')
     }
-    const mark = one.dispatcher.exportSuspects()[0]!
+    const mark = one.shared[0]!
     other.dispatcher.importSuspects([{ ...mark, upstreamIds: ['elsewhere'] }])
     expect(other.results.get(other.submit(FEE, POISON))).to.deep.equal({ kind: 'notRun', code: 'suspectRequest' })
     other.advance(60_000)
     other.dispatcher.importSuspects([mark])
-    expect(other.dispatcher.exportSuspects()).to.deep.equal([])
+    const again = other.submit(FEE, POISON)
+    expect(other.started.some(({ callId }) => callId === again)).to.equal(true)
   })
 })
--- a/packages/core/src/core/dispatch/attemptOutcomes.ts
+++ b/packages/core/src/core/dispatch/attemptOutcomes.ts
@@ -46,7 +46,7 @@
     judgeReport(state, report, this.context.policy)
     this.context.model.onReport(report)
     this.context.table.takeReport(state, report)
-    if (report.draining) this.context.table.markDraining(state, report.receivedAt + this.context.policy.drainHoldMs, true)
+    if (report.draining) this.context.table.markDraining(state, report.receivedAt + this.context.policy.drainHoldMs)
   }
 
   private learnUpstream (attempt: AttemptState, end: AttemptEnd): void {
--- a/packages/core/src/core/dispatch/dispatcher.ts
+++ b/packages/core/src/core/dispatch/dispatcher.ts
@@ -27,7 +27,7 @@
     return new Dispatcher(options)
   }
 
-  /** Replaces the upstreams by the VM list's current ones. */
+  /** Replaces the upstreams by those that are registered now. */
   setUpstreams (upstreams: readonly Upstream[]): void {
     this.context.table.setUpstreams(upstreams, this.context.clock.now())
     this.engine.pump()
@@ -45,24 +45,7 @@
     this.engine.pump()
   }
 
-  /** A peer says that an upstream is draining. */
-  markDraining (upstreamId: string): void {
-    const state = this.context.table.get(upstreamId)
-    if (state === undefined) return
-    this.context.table.markDraining(state, this.context.clock.now() + this.context.policy.drainHoldMs, false)
-  }
-
-  /** Upstreams whose draining this VM learned first-hand, for the exchange with peers. */
-  drainingSeen (): string[] {
-    return this.context.table.drainingSeen(this.context.clock.now())
-  }
-
-  /** Marks of requests that crashed upstreams, for the exchange with peers. */
-  exportSuspects (): SuspectMark[] {
-    return this.context.suspects.exportMarks(this.context.clock.now())
-  }
-
-  /** Takes peers' marks of suspect requests. */
+  /** Takes other VMs' marks of suspect requests. */
   importSuspects (marks: readonly SuspectMark[]): void {
     this.context.suspects.importMarks(marks, this.context.clock.now())
   }
--- a/packages/core/src/core/health/suspectTable.ts
+++ b/packages/core/src/core/health/suspectTable.ts
@@ -36,7 +36,7 @@
     return suspect.upstreamIds.size >= this.policy.suspectCrashes ? 'refuse' : 'tryOnce'
   }
 
-  /** Marks a request and returns the mark for the peers. */
+  /** Marks a request and returns the mark for the other VMs. */
   onCrash (fingerprint: string, upstreamId: string, now: Milliseconds): SuspectMark {
     const mark = { fingerprint, upstreamIds: [upstreamId], expiresAt: now + this.policy.suspectMs }
     this.add(mark, now)
@@ -48,16 +48,7 @@
     if (this.suspects.size > 0) this.suspects.delete(fingerprint)
   }
 
-  exportMarks (now: Milliseconds): SuspectMark[] {
-    this.removeExpired(now)
-    return [...this.suspects].map(([fingerprint, suspect]) => ({
-      fingerprint,
-      upstreamIds: [...suspect.upstreamIds],
-      expiresAt: suspect.expiresAt
-    }))
-  }
-
-  /** Takes peers' marks. The expiry is the one at the origin, so that marks do not circulate for ever. */
+  /** Takes other VMs' marks, with the expiry of their origin. */
   importMarks (marks: readonly SuspectMark[], now: Milliseconds): void {
     for (const mark of marks) this.add({ ...mark, expiresAt: Math.min(mark.expiresAt, now + this.policy.suspectMs) }, now)
   }
--- a/packages/core/src/core/health/upstreamState.ts
+++ b/packages/core/src/core/health/upstreamState.ts
@@ -39,8 +39,6 @@
 
   // Reasons to send no new work, kept by UpstreamTable.
   drainingUntil: Milliseconds = 0
-  /** Whether this VM saw the draining itself; only such notices are passed to peers, so that they do not circulate for ever. */
-  isDrainingSeen = false
   /** When the probe under way was sent; undefined where none is. */
   probeSentAt: Milliseconds | undefined
   isUnresponsive = false
--- a/packages/core/src/core/health/upstreamTable.ts
+++ b/packages/core/src/core/health/upstreamTable.ts
@@ -80,17 +80,9 @@
     return this.sorted.some(state => !isDraining(state, now))
   }
 
-  /** Stops new work for an upstream; `seen` where this VM has it from the upstream itself. */
-  markDraining (state: UpstreamState, until: Milliseconds, seen: boolean): void {
+  /** Stops new work for an upstream. */
+  markDraining (state: UpstreamState, until: Milliseconds): void {
     state.drainingUntil = Math.max(state.drainingUntil, until)
-    state.isDrainingSeen ||= seen
-  }
-
-  /** Upstreams whose draining this VM saw itself, for the exchange with peers. */
-  drainingSeen (now: Milliseconds): string[] {
-    return [...this.states.values()]
-      .filter(state => state.upstream.state === 'leaving' || (state.isDrainingSeen && state.drainingUntil > now))
-      .map(state => state.upstream.id)
   }
 
   snapshotOf (state: UpstreamState, now: Milliseconds): UpstreamSnapshot {
@@ -161,7 +153,7 @@
   }
 }
 
-/** Whether the upstream asked for no new work or the VM list says that it leaves. */
+/** Whether the upstream asked for no new work or is registered as leaving. */
 export function isDraining (state: UpstreamState, now: Milliseconds): boolean {
   return state.upstream.state === 'leaving' || state.drainingUntil > now
 }
--- a/packages/core/src/types/dispatch.ts
+++ b/packages/core/src/types/dispatch.ts
@@ -89,8 +89,8 @@
   /** Asks for a dedicated load probe; answered through `Dispatcher.onProbeReport`. Optional: most pickers send none. */
   sendProbe? (upstreamId: string): void
   /**
-   * Hands over marks of suspect requests at the instant they are made, for every peer's `importSuspects`. Callers repeat
-   * a crashing request within milliseconds and on other VMs, long before the regular exchange.
+   * Hands over marks of suspect requests at the instant they are made, for `importSuspects` on every VM. Callers repeat
+   * a crashing request within milliseconds and at other VMs.
    */
   shareSuspects? (marks: readonly SuspectMark[]): void
 }
--- a/packages/core/src/types/routingPolicy.ts
+++ b/packages/core/src/types/routingPolicy.ts
@@ -119,7 +119,7 @@
   /** Time in which a new or readmitted upstream reaches its full share. */
   readonly slowStartMs: Milliseconds
 
-  /** How long a draining notice holds without confirmation by the VM list. */
+  /** How long a draining notice holds without confirmation by the registry. */
   readonly drainHoldMs: Milliseconds
   /** How long a request that crashed upstreams is refused. */
   readonly suspectMs: Milliseconds
--- a/packages/core/src/types/upstream.ts
+++ b/packages/core/src/types/upstream.ts
@@ -1,9 +1,9 @@
 import type { Milliseconds } from './clock.js'
 
-/** Whether the VM list says that a VM takes new work. */
+/** Whether an upstream takes new work. */
 export type VmState = 'live' | 'leaving'
 
-/** One back-end VM of a service, as the VM list describes it. */
+/** One back-end VM of a service, as it is registered. */
 export interface Upstream {
   readonly id: string
   readonly service: string
--- a/packages/daemon/__tests__/sharedSuspects.test.ts
+++ b/packages/daemon/__tests__/sharedSuspects.test.ts
@@ -48,6 +48,22 @@
     ])
   })
 
+  // Guards against a request that its caller sends to every VM before the first of them has shared its mark, and against
+  // a write for each mark of a burst.
+  it('are written at once, and then in batches', async () => {
+    const store = MemoryStore.create()
+    const writer = createVm(store)
+    const mark = (fingerprint: string): SuspectMark => ({ fingerprint, upstreamIds: ['u1'], expiresAt: 60_500 })
+    writer.suspects.publish([mark('f')])
+    await sleep(30)
+    expect(store.records('fleet')).to.have.length(1)
+    for (let index = 0; index < 20; index++) writer.suspects.publish([mark(`g${index}`)])
+    await sleep(30)
+    expect(store.records('fleet')).to.have.length(1)
+    await until(() => store.records('fleet').length === 21)
+    await writer.stop()
+  })
+
   // Guards against old marks, which the store keeps for good, and bytes of other writers after a restart.
   it('are ignored once they have expired or cannot be read', async () => {
     const store = MemoryStore.create()
--- a/packages/daemon/src/core/control/sharedSuspects.ts
+++ b/packages/daemon/src/core/control/sharedSuspects.ts
@@ -7,8 +7,11 @@
 import type { Journal } from '../operators/journal.js'
 import type { FleetRecordConsumer } from './fleetTable.js'
 
-/** Marks of this time share one write, and one read: a burst of lost connections marks many requests. */
-const BATCH_MS: Milliseconds = 500
+/** Time between two writes: lost connections come in bursts and mark many requests. */
+const WRITE_INTERVAL_MS: Milliseconds = 500
+
+/** Marks of this time share the first write of a burst; their callers send the requests again within milliseconds. */
+const GATHER_MS: Milliseconds = 2
 
 /** Group of the keys of marks in the fleet's table. */
 export const SUSPECTS_GROUP = 'suspect'
@@ -49,6 +52,7 @@
   private pending = new Map<string, SuspectMark>()
   private expiredKeys: readonly string[] = []
   private timer: NodeJS.Timeout | undefined
+  private writtenAt: Milliseconds = -Infinity
 
   private constructor (private readonly options: SharedSuspectsOptions) {}
 
@@ -79,7 +83,8 @@
   }
 
   private scheduleWrite (): void {
-    this.timer ??= setTimeout(() => void this.write(), BATCH_MS)
+    const dueInMs = this.writtenAt + WRITE_INTERVAL_MS - this.options.clock.now()
+    this.timer ??= setTimeout(() => void this.write(), Math.max(dueInMs, GATHER_MS))
   }
 
   private merge (mark: SuspectMark): SuspectMark {
@@ -89,6 +94,7 @@
 
   private async write (): Promise<void> {
     this.timer = undefined
+    this.writtenAt = this.options.clock.now()
     const marks = [...this.pending.values()].slice(-LARGEST_BATCH)
     const removals = this.expiredKeys.map(key => ({ key, value: undefined }))
     this.pending = new Map()
--- a/packages/daemon/src/core/upstreams/serviceHost.ts
+++ b/packages/daemon/src/core/upstreams/serviceHost.ts
@@ -96,7 +96,7 @@
     this.afterEvent()
   }
 
-  /** Takes the VM list's upstreams of the service and this VM's position among the live entry VMs. */
+  /** Takes the registered upstreams of the service and this VM's position among the entry VMs. */
   setUpstreams (upstreams: readonly Upstream[], entryRank: number, entryCount: number): void {
     this.connections.setUpstreams(upstreams, entryCount)
     this.dispatcher.setEntryPosition(entryRank, entryCount)
--- a/packages/daemon/src/core/upstreams/upstreamConnections.ts
+++ b/packages/daemon/src/core/upstreams/upstreamConnections.ts
@@ -44,7 +44,7 @@
     this.exceptions = exceptions
   }
 
-  /** Follows the VM list. The connections of each upstream are divided among the live entry VMs. */
+  /** Takes the registered upstreams. The connections of each upstream are divided among the entry VMs. */
   setUpstreams (upstreams: readonly Upstream[], entryCount: number): void {
     const listed = new Set(upstreams.map(upstream => upstream.id))
     for (const id of this.sets.keys()) if (!listed.has(id)) this.remove(id)
