--- a/packages/core/src/core/dispatch/callEngine.ts
+++ b/packages/core/src/core/dispatch/callEngine.ts
@@ -14,10 +14,10 @@
 import { withRetryAfter } from '../limits/retryAfter.js'
 import type { RoutingContext } from './routingContext.js'
 import type { UpstreamState } from '../health/upstreamState.js'
-import { chooseUpstream, findNewcomer, type Choice } from '../routing/upstreamChoice.js'
+import { chooseUpstream, findUnusedUpstream, type Choice } from '../routing/upstreamChoice.js'
 
 /** Share of a call's target time that it may wait for the retry budget. */
-const BUDGET_PATIENCE_SHARE = 1 / 8
+const BUDGET_WAIT_SHARE = 1 / 8
 
 /** Moves calls between waiting, running and finished. */
 export class CallEngine implements AttemptControl {
@@ -260,8 +260,8 @@
 
   /** Whether the next retry takes longer to earn than a caller should be kept waiting for it. */
   private isBudgetFar ({ call }: CallState): boolean {
-    const patienceMs = ((call.targetAt ?? call.deadlineAt) - call.arrivedAt) * BUDGET_PATIENCE_SHARE
-    return this.context.budget.expectedWaitMs() > patienceMs
+    const longestWaitMs = ((call.targetAt ?? call.deadlineAt) - call.arrivedAt) * BUDGET_WAIT_SHARE
+    return this.context.budget.expectedWaitMs() > longestWaitMs
   }
 
   private startQueued (): boolean {
@@ -279,21 +279,21 @@
     context.queue.depart(state, context.clock.now())
     this.leavePlace(state)
     this.startOn(choice, state, 'first')
-    this.introduceNewcomer(state)
+    this.tryUnusedUpstream(state)
     return true
   }
 
-  /** Gives an upstream that joined its first call beside another one, which answers in time if the new one is still slow. */
-  private introduceNewcomer (state: CallState): void {
+  /** Sends the call to an upstream that joined and was not used yet, beside another one that answers in time if it is still slow. */
+  private tryUnusedUpstream (state: CallState): void {
     const { kind, replayable, fingerprint } = state.call
     const { budget, suspects, clock } = this.context
     if (!kind.idempotent || !kind.hedgeable || !replayable || state.place !== 'running') return
     if (!budget.canHedge() || state.started >= this.context.maxAttempts(kind)) return
     if (suspects.verdict(fingerprint, clock.now()) !== 'clear') return
-    const newcomer = findNewcomer(this.context, state)
-    if (newcomer === undefined) return
+    const unused = findUnusedUpstream(this.context, state)
+    if (unused === undefined) return
     this.context.counters.hedges += 1
-    this.spendOn({ state: newcomer, isTrial: false }, state, 'hedge')
+    this.spendOn({ state: unused, isTrial: false }, state, 'hedge')
   }
 
   private refuseWithoutTakers (state: CallState): boolean {
--- a/packages/core/src/core/routing/upstreamChoice.ts
+++ b/packages/core/src/core/routing/upstreamChoice.ts
@@ -31,7 +31,7 @@
  * An upstream that joined and got no call until it was warm. Where others are always free, nobody would find out that it
  * works.
  */
-export function findNewcomer (context: RoutingContext, state: CallState): UpstreamState | undefined {
+export function findUnusedUpstream (context: RoutingContext, state: CallState): UpstreamState | undefined {
   const now = context.clock.now()
   return context.table.candidates(now, state.triedUpstreams).find(({ attempts, warmth, warmSince, upstream }) =>
     attempts === 0 && warmth >= 1 && warmSince !== -Infinity && now >= (upstream.warmAt ?? 0))
--- a/packages/daemon/src/core/control/sharedSuspects.ts
+++ b/packages/daemon/src/core/control/sharedSuspects.ts
@@ -72,14 +72,26 @@
 
   /** Takes other VMs' marks. The store keeps records for good, so that expired ones are removed where they are found. */
   onSnapshot (records: readonly TableRecord[]): void {
-    this.onChanges(records)
-    this.expiredKeys = records.filter(record => this.isExpired(record)).map(({ key }) => key).slice(0, LARGEST_BATCH)
+    this.expiredKeys = this.take(records).slice(0, LARGEST_BATCH)
     if (this.expiredKeys.length > 0) this.scheduleWrite()
   }
 
   onChanges (records: readonly TableRecord[]): void {
-    const marks = records.map(record => this.decode(record)).filter(mark => mark !== undefined)
+    this.take(records)
+  }
+
+  /** Hands on the marks that hold and returns the keys of those that have expired. */
+  private take (records: readonly TableRecord[]): string[] {
+    const marks: SuspectMark[] = []
+    const expired: string[] = []
+    for (const record of records) {
+      const content = this.parse(record)
+      if (content === undefined) continue
+      if (this.hasExpired(content)) expired.push(record.key)
+      else marks.push(this.decode(content))
+    }
     if (marks.length > 0) this.options.importMarks(marks)
+    return expired
   }
 
   private scheduleWrite (): void {
@@ -112,18 +124,10 @@
     return { key: `${SUSPECTS_GROUP}/${digest}`, value: Buffer.from(JSON.stringify(record)) }
   }
 
-  private decode (record: TableRecord): SuspectMark | undefined {
-    const content = this.parse(record)
-    if (content === undefined || this.hasExpired(content)) return undefined
-    const { fingerprint, upstreamIds, validMs } = content
+  private decode ({ fingerprint, upstreamIds, validMs }: MarkRecord): SuspectMark {
     return { fingerprint, upstreamIds, expiresAt: this.options.clock.now() + validMs }
   }
 
-  private isExpired (record: TableRecord): boolean {
-    const content = this.parse(record)
-    return content !== undefined && this.hasExpired(content)
-  }
-
   private parse ({ key, value }: TableRecord): MarkRecord | undefined {
     if (value === undefined) return undefined
     const content = RECORD.safeParse(parseJson(value.toString('utf8'))).data
