--- a/packages/core/src/core/dispatch/callEngine.ts
+++ b/packages/core/src/core/dispatch/callEngine.ts
@@ -11,6 +11,7 @@
 import { countResult } from './dispatchCounters.js'
 import { LoadProbes } from '../routing/loadProbes.js'
 import { ParkedCalls } from './parkedCalls.js'
+import { resultBasisOf } from './resultBasis.js'
 import { withRetryAfter } from '../limits/retryAfter.js'
 import type { RoutingContext } from './routingContext.js'
 import type { UpstreamState } from '../health/upstreamState.js'
@@ -127,7 +128,8 @@
     this.context.timers.cancel(state.deadlineTimer)
     this.calls.delete(state.call.id)
     countResult(this.context.counters, result)
-    this.context.port.finishCall(state.call.id, withRetryAfter(this.context, state.call, result))
+    const basis = 'code' in result ? resultBasisOf(this.context, state) : undefined
+    this.context.port.finishCall(state.call.id, withRetryAfter(this.context, state.call, result), basis)
     this.resumeParked(state.call.fingerprint)
   }
 
--- a/packages/core/src/core/dispatch/dispatcher.ts
+++ b/packages/core/src/core/dispatch/dispatcher.ts
@@ -50,6 +50,11 @@
     this.context.suspects.importMarks(marks, this.context.clock.now())
   }
 
+  /** Registered upstreams that this VM uses. */
+  get upstreamCount (): number {
+    return this.context.table.all().length
+  }
+
   /** Calls that wait for an upstream. */
   get waitingCalls (): number {
     return this.engine.waitingCalls
--- a/packages/core/src/core/limits/retryBudget.ts
+++ b/packages/core/src/core/limits/retryBudget.ts
@@ -33,6 +33,11 @@
     this.calledAt = now
   }
 
+  /** Retries and hedges that are saved up. */
+  get savedRetries (): number {
+    return this.saved
+  }
+
   canRetry (): boolean {
     return this.saved >= 1
   }
--- a/packages/core/src/types/dispatch.ts
+++ b/packages/core/src/types/dispatch.ts
@@ -81,11 +81,30 @@
   | { readonly kind: 'outcomeUnknown', readonly code: ResultCodeName }
   | { readonly kind: 'cancelled' }
 
+/** What was known when a call ended without an answer, for the log. */
+export interface ResultBasis {
+  /** Attempts of the call that were started. */
+  readonly attempts: number
+  /** Retries and hedges that the budget holds. */
+  readonly savedRetries: number
+  /** Expected wait of a new call of the kind. */
+  readonly expectedWaitMs: Milliseconds
+  /** Upstreams that this VM uses. */
+  readonly upstreams: number
+  /** Those of them that take new work now. */
+  readonly openUpstreams: number
+  /** Open upstreams whose newest report, whatever its age, leaves a slot free. */
+  readonly freeUpstreams: number
+  /** Open upstreams whose report is recent enough to be acted on without a probe. */
+  readonly freshReports: number
+}
+
 /** The host of a dispatcher: it carries attempts out and hands results to callers. */
 export interface DispatchPort {
   startAttempt (attempt: Attempt): void
   cancelAttempt (attemptId: number, reason: CancelReason): void
-  finishCall (callId: number, result: CallResult): void
+  /** `basis` is there where the call ends without an answer although its caller waits for one. */
+  finishCall (callId: number, result: CallResult, basis?: ResultBasis): void
   /** Asks for a dedicated load probe; answered through `Dispatcher.onProbeReport`. Optional: most pickers send none. */
   sendProbe? (upstreamId: string): void
   /**
--- a/packages/daemon/src/core/gateway/callLog.ts
+++ b/packages/daemon/src/core/gateway/callLog.ts
@@ -1,6 +1,6 @@
 import type { Histogram } from 'prom-client'
 import type { Milliseconds } from '@cowsliplead/core/types/clock.js'
-import type { Attempt, AttemptEnd, CallResult, CancelReason } from '@cowsliplead/core/types/dispatch.js'
+import type { Attempt, AttemptBasis, AttemptEnd, CallResult, CancelReason, ResultBasis } from '@cowsliplead/core/types/dispatch.js'
 import type { AttemptRun } from '../upstreams/attemptRun.js'
 import type { CallRun } from '../callers/callRun.js'
 import type { CallObserver } from '../upstreams/serviceHost.js'
@@ -41,13 +41,18 @@
     })
   }
 
-  onResult (call: CallRun, result: CallResult, tookMs: Milliseconds, waitingCalls: number): void {
+  onUpstreams (registered: number, used: number): void {
+    this.log.journal.info('upstreams in use', { service: this.service, registered, used })
+  }
+
+  onResult (call: CallRun, result: CallResult, tookMs: Milliseconds, waitingCalls: number, basis?: ResultBasis): void {
     const outcome = 'code' in result ? result.code : result.kind
     this.latencies.observe({ service: this.service, result: result.kind }, tookMs / 1000)
     this.log.request('result', {
       request: call.requestId, service: this.service, route: call.call.kind.name, outcome, tookMs: round(tookMs), waitingCalls,
       attempt: result.kind === 'delivered' ? result.attemptId : undefined,
-      retryAfterMs: 'retryAfterMs' in result ? round(result.retryAfterMs ?? 0) : undefined
+      retryAfterMs: 'retryAfterMs' in result ? round(result.retryAfterMs ?? 0) : undefined,
+      ...(basis === undefined ? {} : roundAll(basis))
     })
   }
 }
@@ -56,7 +61,7 @@
   return Math.round(value * 10) / 10
 }
 
-function roundAll (basis: Attempt['basis']): Record<string, number | undefined> {
+function roundAll (basis: AttemptBasis | ResultBasis): Record<string, number | undefined> {
   const entries = Object.entries(basis) as Array<[string, number | undefined]>
   return Object.fromEntries(entries.map(([name, value]) => [name, value === undefined ? undefined : round(value)]))
 }
--- a/packages/daemon/src/core/operators/metrics.ts
+++ b/packages/daemon/src/core/operators/metrics.ts
@@ -32,6 +32,8 @@
     this.addServiceGauge('cowsliplead_connections', 'Connections to upstreams', host => host.connectionCount)
     this.addServiceGauge('cowsliplead_queued_calls', 'Calls that wait for an upstream', host => host.dispatcher.snapshot().queued)
     this.addServiceGauge('cowsliplead_probes', 'Dedicated load probes since the start', host => host.dispatcher.snapshot().counters.probes)
+    this.addServiceGauge('cowsliplead_registered_upstreams', 'Upstreams that are registered', host => host.upstreamCounts.registered)
+    this.addServiceGauge('cowsliplead_used_upstreams', 'Registered upstreams that this VM uses', host => host.upstreamCounts.used)
     this.addServiceGauge('cowsliplead_ejected_upstreams', 'Upstreams that get trial calls only', host => countUpstreams(host, 'ejected'))
     this.addServiceGauge('cowsliplead_draining_upstreams', 'Upstreams that get no new work', host => countUpstreams(host, 'draining'))
     this.addGauge('cowsliplead_config_revision', 'Version of the routes in force', () => source.revision())
--- a/packages/daemon/src/core/upstreams/serviceHost.ts
+++ b/packages/daemon/src/core/upstreams/serviceHost.ts
@@ -1,4 +1,4 @@
-import type { Attempt, AttemptEnd, CallResult, CancelReason, DispatchPort } from '@cowsliplead/core/types/dispatch.js'
+import type { Attempt, AttemptEnd, CallResult, CancelReason, DispatchPort, ResultBasis } from '@cowsliplead/core/types/dispatch.js'
 import type { Clock, Milliseconds } from '@cowsliplead/core/types/clock.js'
 import type { SuspectMark } from '@cowsliplead/core/types/suspectMark.js'
 import type { PolicyExceptions, RoutingPolicy } from '@cowsliplead/core/types/routingPolicy.js'
@@ -33,7 +33,9 @@
   onAttempt (call: CallRun, attempt: Attempt): void
   onAttemptEnd (call: CallRun, run: AttemptRun, end: AttemptEnd, tookMs: Milliseconds): void
   onCancel (call: CallRun, run: AttemptRun, reason: CancelReason, tookMs: Milliseconds): void
-  onResult (call: CallRun, result: CallResult, tookMs: Milliseconds, waitingCalls: number): void
+  onResult (call: CallRun, result: CallResult, tookMs: Milliseconds, waitingCalls: number, basis?: ResultBasis): void
+  /** The registered upstreams of the service, or those of them that this VM uses, have changed in number. */
+  onUpstreams (registered: number, used: number): void
 }
 
 /** An attempt under way with what is needed to end it. */
@@ -49,6 +51,8 @@
   readonly dispatcher: Dispatcher
   readonly counters = ServiceCounters.create()
   private healthPath = '/'
+  private registered = 0
+  private used = 0
   /** The attempt whose end the dispatcher is dealing with; a call is delivered from it. */
   private endingAttempt: AttemptRun | undefined
   private readonly calls = new Map<number, CallRun>()
@@ -84,6 +88,11 @@
     return this.calls.size
   }
 
+  /** Registered upstreams of the service, and those of them that this VM uses. */
+  get upstreamCounts (): { readonly registered: number, readonly used: number } {
+    return { registered: this.registered, used: this.used }
+  }
+
   /** Connections to the upstreams of the service. */
   get connectionCount (): number {
     return this.connections.size
@@ -101,6 +110,7 @@
     this.connections.setUpstreams(upstreams, entryCount)
     this.dispatcher.setEntryPosition(entryRank, entryCount)
     this.dispatcher.setUpstreams(upstreams)
+    this.noteUpstreams(upstreams.length)
     this.afterEvent()
   }
 
@@ -162,12 +172,12 @@
     attempt.run.cancel()
   }
 
-  finishCall (callId: number, result: CallResult): void {
+  finishCall (callId: number, result: CallResult, basis?: ResultBasis): void {
     this.counters.countResult(result)
     const call = this.calls.get(callId)
     if (call === undefined) return
     this.calls.delete(callId)
-    this.options.observer?.onResult(call, result, this.clock.now() - call.call.arrivedAt, this.dispatcher.waitingCalls)
+    this.options.observer?.onResult(call, result, this.clock.now() - call.call.arrivedAt, this.dispatcher.waitingCalls, basis)
     call.finish(result, this.endingAttempt?.heldResponse)
   }
 
@@ -239,6 +249,14 @@
     this.afterEvent()
   }
 
+  private noteUpstreams (registered: number): void {
+    const used = this.dispatcher.upstreamCount
+    if (registered === this.registered && used === this.used) return
+    this.registered = registered
+    this.used = used
+    this.options.observer?.onUpstreams(registered, used)
+  }
+
   private resume (run: AttemptRun): void {
     this.paused.delete(run)
     this.onProgress(run)
