Give each VM a subset of a large service's upstreams of its own

Cause: a service of more than 64 upstreams is cut into parts, and a VM uses the part for its rank among the VMs. Since daemons no longer talk to each other every VM takes itself for rank 0 of 1, so all of them use the same third (135 to 192 upstreams) or quarter. Class: a decision on a fact that the host stopped providing, with a constant in its place.

The daemon test fails before: 20 VMs use 34 of 100 upstreams.

Change: a VM orders upstreams by a hash of both ids (rendezvous hashing), its own failure domain first, and uses 128 of them, more while its own attempts take half of their slots. No rank is needed, VMs that come and go change nothing for the others.

--- a/packages/bench/src/core/capacity/serviceLoad.ts
+++ b/packages/bench/src/core/capacity/serviceLoad.ts
@@ -48,6 +48,7 @@
     const policy = { ...DEFAULT_ROUTING_POLICY, ...options.policy }
     this.dispatcher = Dispatcher.create({
       service: options.service,
+      vmId: 'vm0',
       clock: options.clock,
       random: SeededRandom.create(1),
       port: this,
--- a/packages/bench/src/core/decisions/dispatcherFleet.ts
+++ b/packages/bench/src/core/decisions/dispatcherFleet.ts
@@ -118,6 +118,7 @@
   private constructor (private readonly options: EntryHostOptions) {
     this.dispatcher = Dispatcher.create({
       service: 'bench',
+      vmId: `vm${options.entry}`,
       clock: options.transport.events.clock,
       random: SeededRandom.create(options.cell.seed + 104729 * (options.entry + 1)),
       port: this,
--- a/packages/core/__tests__/dispatcherHarness.ts
+++ b/packages/core/__tests__/dispatcherHarness.ts
@@ -40,6 +40,7 @@
   private constructor (policy: RoutingPolicy, picker: Picker, failureDomain?: string) {
     this.dispatcher = Dispatcher.create({
       service: 'register',
+      vmId: 'vm0',
       clock: this.clock,
       random: SeededRandom.create(7),
       picker,
--- a/packages/core/__tests__/loadProbes.test.ts
+++ b/packages/core/__tests__/loadProbes.test.ts
@@ -113,7 +113,7 @@
     const policy = { ...DEFAULT_ROUTING_POLICY, crossDomainCostMs: 15, crossDomainCostPerKilobyteMs: 3 }
     const started: string[] = []
     const dispatcher = Dispatcher.create({
-      service: 's', clock: { now: () => 0 }, random: SeededRandom.create(1), picker: ExpectedDelayPicker.create(policy), policy, failureDomain: 'domain1',
+      service: 's', vmId: 'vm0', clock: { now: () => 0 }, random: SeededRandom.create(1), picker: ExpectedDelayPicker.create(policy), policy, failureDomain: 'domain1',
       port: { startAttempt: ({ upstreamId }) => started.push(upstreamId), cancelAttempt: () => {}, finishCall: () => {} }
     })
     dispatcher.setUpstreams(upstreams(2))
--- a/packages/core/__tests__/pickers.test.ts
+++ b/packages/core/__tests__/pickers.test.ts
@@ -1,7 +1,6 @@
 import { expect } from 'chai'
 import { ExpectedDelayPicker } from '../src/core/routing/expectedDelayPicker.js'
 import { SlotSharePicker } from '../src/core/routing/slotSharePicker.js'
-import { chooseSubset } from '../src/core/routing/subset.js'
 import type { PickContext, UpstreamView } from '../src/types/picker.js'
 import { SeededRandom } from '../src/types/randomSource.js'
 import { Harness, LOOKUP, upstreams } from './dispatcherHarness.js'
@@ -99,21 +98,6 @@
   })
 })
 
-describe('chooseSubset', () => {
-  // Guards against upstreams that no VM uses, or that many more VMs use than others.
-  it('uses every upstream about equally often', () => {
-    const all = Array.from({ length: 300 }, (_, index) => index)
-    const uses = all.map(() => 0)
-    for (let rank = 0; rank < 30; rank++) {
-      const chosen = chooseSubset(all, 64, rank)
-      expect(chosen.length).to.be.within(60, 64)
-      for (const index of chosen) uses[index]! += 1
-    }
-    expect(Math.min(...uses)).to.equal(6)
-    expect(Math.max(...uses)).to.equal(6)
-  })
-})
-
 describe('ExpectedDelayPicker at an upstream that has just joined', () => {
   const joined = view(1, { warmth: 0.1, serviceTimeMs: undefined, slotShare: 0 })
 
--- a/packages/core/src/core/dispatch/callEngine.ts
+++ b/packages/core/src/core/dispatch/callEngine.ts
@@ -371,6 +371,7 @@
     state.attempts += 1
     this.attempts.set(attempt.attempt.id, attempt)
     this.context.counters.attempts += 1
+    this.context.table.fitTo(this.attempts.size)
   }
 
   private leavePlace (state: CallState): void {
--- a/packages/core/src/core/dispatch/routingContext.ts
+++ b/packages/core/src/core/dispatch/routingContext.ts
@@ -22,6 +22,8 @@
   readonly port: DispatchPort
   readonly picker: Picker
   readonly policy: RoutingPolicy
+  /** Identifies this VM among the entry VMs. */
+  readonly vmId: string
   /** Failure domain of this VM; undefined where domains are all alike. */
   readonly failureDomain?: string
 }
@@ -45,7 +47,7 @@
   private constructor (readonly options: DispatcherOptions) {
     const { policy, clock } = options
     this.policy = policy
-    this.table = UpstreamTable.create(policy)
+    this.table = UpstreamTable.create(policy, options)
     this.model = ServiceModel.create(policy)
     this.queue = WaitQueue.create(policy, kind => this.model.kindMs(kind))
     this.budget = RetryBudget.create(policy)
--- a/packages/core/src/core/health/upstreamState.ts
+++ b/packages/core/src/core/health/upstreamState.ts
@@ -2,9 +2,20 @@
 import type { UpstreamView } from '../../types/picker.js'
 import type { RoutingPolicy } from '../../types/routingPolicy.js'
 import type { LoadReport, Upstream } from '../../types/upstream.js'
-import type { AdaptiveLimit } from '../limits/adaptiveLimit.js'
+import { AdaptiveLimit } from '../limits/adaptiveLimit.js'
 import type { RunningAttempt } from './runningAttempt.js'
 
+/** What an upstream's state starts with. */
+export interface UpstreamStateOptions {
+  readonly upstream: Upstream
+  /** Place in the order in which this VM prefers upstreams; lower comes first. */
+  readonly preference: number
+  /** Start of the slow start. */
+  readonly warmSince: Milliseconds
+  /** The numbers in force for the upstream. */
+  readonly policy: RoutingPolicy
+}
+
 /** What the dispatcher keeps for one upstream; pickers read it as `UpstreamView`. */
 export class UpstreamState implements UpstreamView {
   inFlight = 0
@@ -53,6 +64,8 @@
 
   private constructor (
     public upstream: Upstream,
+    /** Place in the order in which this VM prefers upstreams; lower comes first. */
+    readonly preference: number,
     /** Start of the slow start. */
     public warmSince: Milliseconds,
     readonly adaptiveLimit: AdaptiveLimit,
@@ -60,8 +73,8 @@
     public policy: RoutingPolicy
   ) {}
 
-  static create (upstream: Upstream, warmSince: Milliseconds, adaptiveLimit: AdaptiveLimit, policy: RoutingPolicy): UpstreamState {
-    return new UpstreamState(upstream, warmSince, adaptiveLimit, policy)
+  static create ({ upstream, preference, warmSince, policy }: UpstreamStateOptions): UpstreamState {
+    return new UpstreamState(upstream, preference, warmSince, AdaptiveLimit.create(policy), policy)
   }
 
   /** Slots that are used. */
--- a/packages/core/src/core/health/upstreamTable.ts
+++ b/packages/core/src/core/health/upstreamTable.ts
@@ -2,22 +2,36 @@
 import type { UpstreamSnapshot } from '../../types/dispatcherSnapshot.js'
 import { NO_POLICY_EXCEPTIONS, type PolicyExceptions, type RoutingPolicy } from '../../types/routingPolicy.js'
 import type { LoadReport, Upstream } from '../../types/upstream.js'
-import { AdaptiveLimit } from '../limits/adaptiveLimit.js'
-import { chooseSubset } from '../routing/subset.js'
+import { chooseSubset, preferenceOf } from '../routing/subset.js'
 import { UpstreamState } from './upstreamState.js'
 
+/** The subset grows where attempts under way take more than this share of its slots, and shrinks again below the other. */
+const GROWTH_LOAD = 0.5
+const SHRINK_LOAD = 0.1
+
+/** The VM that uses the upstreams. */
+export interface TableOwner {
+  readonly vmId: string
+  /** Undefined where failure domains are all alike. */
+  readonly failureDomain?: string | undefined
+}
+
 /** Upstreams of one service as this VM knows them. */
 export class UpstreamTable {
   private readonly states = new Map<string, UpstreamState>()
   private sorted: UpstreamState[] = []
+  /** Slots of the upstreams in use. */
+  private usedSlots = 0
+  /** How many times the usual subset this VM uses. */
+  private reach = 1
   private entryRank = 0
   private entryCount = 1
   private exceptions = NO_POLICY_EXCEPTIONS.upstreams
 
-  private constructor (private policy: RoutingPolicy) {}
+  private constructor (private policy: RoutingPolicy, private readonly owner: TableOwner) {}
 
-  static create (policy: RoutingPolicy): UpstreamTable {
-    return new UpstreamTable(policy)
+  static create (policy: RoutingPolicy, owner: TableOwner): UpstreamTable {
+    return new UpstreamTable(policy, owner)
   }
 
   setPolicy (policy: RoutingPolicy, exceptions: PolicyExceptions['upstreams']): void {
@@ -45,6 +59,13 @@
     this.arrange()
   }
 
+  /** Fits the number of upstreams in use to the attempts under way: a VM left alone carries the load of all. */
+  fitTo (attempts: number): void {
+    const isLarge = this.sorted.length < this.states.size
+    if (isLarge && attempts > this.usedSlots * GROWTH_LOAD) this.setReach(this.reach * 2)
+    else if (this.reach > 1 && attempts < this.usedSlots * SHRINK_LOAD) this.setReach(this.reach / 2)
+  }
+
   setEntryPosition (rank: number, count: number): void {
     this.entryRank = rank
     this.entryCount = Math.max(count, 1)
@@ -116,7 +137,8 @@
     }
     // Upstreams known before the first call are taken to be warm: a restarted entry VM must not throttle a whole service.
     const warmSince = this.hasServed() ? now : -Infinity
-    this.states.set(upstream.id, UpstreamState.create(upstream, warmSince, AdaptiveLimit.create(this.policy), this.policyOf(upstream.id)))
+    const preference = preferenceOf(this.owner.vmId, upstream.id)
+    this.states.set(upstream.id, UpstreamState.create({ upstream, preference, warmSince, policy: this.policyOf(upstream.id) }))
   }
 
   private hasServed (): boolean {
@@ -127,9 +149,17 @@
     return this.exceptions.get(upstreamId) ?? this.policy
   }
 
+  private setReach (reach: number): void {
+    this.reach = reach
+    this.arrange()
+  }
+
   private arrange (): void {
-    const all = [...this.states.values()].sort((one, other) => one.upstream.id < other.upstream.id ? -1 : 1)
-    this.sorted = chooseSubset(all, this.policy.scanLimitUpstreams, this.entryRank)
+    const all = [...this.states.values()]
+    const limit = this.policy.scanLimitUpstreams * this.reach
+    this.sorted = chooseSubset(all, limit, this.owner.failureDomain)
+    this.sorted.sort((one, other) => one.upstream.id < other.upstream.id ? -1 : 1)
+    this.usedSlots = this.sorted.reduce((sum, { slots }) => sum + (slots ?? 1), 0)
     if (this.sorted.length === all.length) this.divideSlots()
     else this.divideEvenly(this.sorted.length / all.length)
   }
--- a/packages/core/src/core/routing/subset.ts
+++ b/packages/core/src/core/routing/subset.ts
@@ -1,22 +1,32 @@
-import { SeededRandom } from '../../types/randomSource.js'
+import murmurhash from 'murmurhash'
+import type { Upstream } from '../../types/upstream.js'
+
+/** Share of a subset that may come from the VM's own failure domain; the rest is there for when that domain has no room. */
+const OWN_DOMAIN_SHARE = 0.75
+
+/** An upstream with its place in the order in which one VM prefers upstreams. */
+export interface RankedUpstream {
+  readonly upstream: Upstream
+  /** As returned by `preferenceOf`; lower comes first. */
+  readonly preference: number
+}
 
 /**
- * The part of `all` that the VM at `rank` uses. VMs of one round split a shuffled list into disjoint parts,
- * and each round shuffles anew, so that every upstream serves about the same number of VMs.
+ * Place of an upstream in the order in which a VM prefers upstreams. The orders of different VMs are independent, so
+ * that VMs that know nothing of each other cover all upstreams, and one that joins or leaves changes nothing for the
+ * others (rendezvous hashing).
  */
-export function chooseSubset<Item> (all: readonly Item[], limit: number, rank: number): Item[] {
-  if (all.length <= limit) return [...all]
-  const parts = Math.ceil(all.length / limit)
-  const round = Math.floor(rank / parts)
-  const part = rank % parts
-  const chosen = new Set(shuffle(all, round).filter((_, index) => index % parts === part))
-  return all.filter(item => chosen.has(item))
+export function preferenceOf (vmId: string, upstreamId: string): number {
+  return murmurhash.v3(`${vmId} ${upstreamId}`)
 }
 
-function shuffle<Item> (items: readonly Item[], seed: number): Item[] {
-  const random = SeededRandom.create(seed + 1)
-  return items
-    .map(item => ({ item, key: random.next() }))
-    .sort((one, other) => one.key - other.key)
-    .map(({ item }) => item)
+/** The `limit` upstreams that a VM in `ownDomain` uses: preferred ones, those of its own failure domain first. */
+export function chooseSubset<Item extends RankedUpstream> (all: readonly Item[], limit: number, ownDomain: string | undefined): Item[] {
+  if (all.length <= limit) return [...all]
+  const ordered = [...all].sort((one, other) => one.preference - other.preference)
+  const isOwn = ({ upstream }: Item): boolean => upstream.failureDomain === ownDomain
+  const own = ordered.filter(isOwn)
+  const nearest = own.slice(0, Math.ceil(limit * OWN_DOMAIN_SHARE))
+  const others = ordered.filter(item => !isOwn(item))
+  return [...nearest, ...others, ...own.slice(nearest.length)].slice(0, limit)
 }
--- a/packages/core/src/types/routingPolicy.ts
+++ b/packages/core/src/types/routingPolicy.ts
@@ -8,7 +8,7 @@
   readonly usableSlotShare: number
   /** Connections that one upstream accepts; the live entry VMs divide them equally. */
   readonly connectionsPerUpstream: number
-  /** Services with more upstreams than this use a deterministic subset on each VM. */
+  /** In services with more upstreams than this, each VM uses a subset of its own. */
   readonly scanLimitUpstreams: number
 
   /** Expected queue at the best upstream, per slot, above which a call waits in the VM's own queue. */
@@ -146,7 +146,7 @@
   queueAllowanceCalls: 1,
   usableSlotShare: 1,
   connectionsPerUpstream: 250,
-  scanLimitUpstreams: 64,
+  scanLimitUpstreams: 128,
   holdExcessPerSlot: 2,
   overloadExcessPerSlot: 0.5,
   overloadServiceTimes: 3,
--- a/packages/daemon/__tests__/services.test.ts
+++ b/packages/daemon/__tests__/services.test.ts
@@ -1,4 +1,5 @@
 import { expect } from 'chai'
+import type { UpstreamEntry } from '@cowsliplead/core/types/upstreamEntry.js'
 import { encodePolicyRecord, POLICY_KEY } from '../src/core/control/policyState.js'
 import { call, createSettings, Rig, until } from './harness.js'
 
@@ -7,6 +8,11 @@
   readonly connections: Readonly<Record<string, { readonly limit: number }>>
 }
 
+/** An upstream that nobody calls. */
+const LISTED: UpstreamEntry = {
+  id: 'u', service: 'permits', address: '127.0.0.1', port: 9, failureDomain: 'a', slots: 4, state: 'live', incarnation: 1, sequence: 1, warmupLeftMs: 0
+}
+
 const crash = (_request: unknown, response: { socket: { destroy (): void } | null }): void => void response.socket?.destroy()
 
 describe('the policy document in the daemon', () => {
@@ -124,3 +130,24 @@
     }
   })
 })
+
+describe('a service with more upstreams than one VM uses', () => {
+  // Guards against VMs that all use the same part of a large service and leave the rest idle (issue 14).
+  it('is used whole by the VMs together', async () => {
+    const rig = await Rig.create()
+    const used = new Set<string>()
+    try {
+      for (let index = 0; index < 100; index++) rig.store.putUpstream({ ...LISTED, id: `u${index}`, failureDomain: `d${index % 3}` })
+      for (let vm = 0; vm < 20; vm++) {
+        const { routing } = createSettings()
+        const daemon = await rig.start(createSettings({ vmId: `vm${vm}`, failureDomain: `d${vm % 3}`, routing: { ...routing, scanLimitUpstreams: 40 } }))
+        const dump = JSON.parse((await call(daemon.ports.admin, 'GET', '/dump')).body) as { services: { permits: ServiceDump } }
+        for (const { id } of dump.services.permits.dispatcher.upstreams) used.add(id)
+      }
+      expect(used.size).to.equal(100)
+      expect(rig.lines.find(({ message }) => message === 'upstreams in use')).to.include({ service: 'permits', registered: 100, used: 40 })
+    } finally {
+      await rig.close()
+    }
+  })
+})
--- a/packages/daemon/src/core/gateway/gateway.ts
+++ b/packages/daemon/src/core/gateway/gateway.ts
@@ -199,6 +199,7 @@
       tickTimer,
       dialect: this.peripherals.dialect,
       limits: { connectTimeoutMs: CONNECT_TIMEOUT_MS },
+      vmId: settings.vmId,
       failureDomain: settings.failureDomain,
       policy: policyOf(settings),
       observerOf: service => CallLog.create(service, log, latencies),
--- a/packages/daemon/src/core/gateway/gatewayServices.ts
+++ b/packages/daemon/src/core/gateway/gatewayServices.ts
@@ -33,6 +33,7 @@
   readonly tickTimer: TickTimer
   readonly dialect: Dialect
   readonly limits: ConnectionLimits
+  readonly vmId: string
   readonly failureDomain: string
   readonly policy: RoutingPolicy
   /** Who hears of the decisions about calls of a service. */
@@ -149,7 +150,7 @@
   }
 
   private createHost ({ name }: ServiceTarget, policy: RoutingPolicy): ServiceHost {
-    const { clock, random, tickTimer, dialect, limits, failureDomain } = this.options
+    const { clock, random, tickTimer, dialect, limits, vmId, failureDomain } = this.options
     return ServiceHost.create({
       service: name,
       clock,
@@ -159,7 +160,7 @@
       onSuspects: this.options.onSuspects,
       observer: this.options.observerOf(name),
       createDispatcher: port => Dispatcher.create({
-        service: name, clock, random, port, picker: ExpectedDelayPicker.create(policy), policy, failureDomain
+        service: name, vmId, clock, random, port, picker: ExpectedDelayPicker.create(policy), policy, failureDomain
       })
     })
   }
