Hand on what a few VMs read from the store to the others

VMs announce a feed address in the table fleet. 2 + N / 24 of them, by a hash of their ids, read the tables and push changes and how far and how long ago they have read; each other VM follows two of these, and reads the store itself where none has read a table within 1.4 s, is silent, or is ahead of what was handed on. Changes whose copies would hold up a small link are not pushed. The number of VMs divides the saved part of the retry budget, which held up to 12 VMs only, and the probes that an upstream may be sent.

An upstream that leaves is known after 1.4 s and one read where both sources of a VM vanish at once; before, a connection of a read that went silent took 2.5 s, above the bound of 2 s.

--- a/packages/bench/src/core/capacity/controlCost.ts
+++ b/packages/bench/src/core/capacity/controlCost.ts
@@ -2,6 +2,8 @@
 import winston from 'winston'
 import type { RouteConfig } from '@cowsliplead/core/types/routes.js'
 import { ControlState, type ControlTarget } from '@cowsliplead/daemon/core/control/controlState.js'
+import { Fleet } from '@cowsliplead/daemon/core/feed/fleet.js'
+import { MEMBERS_GROUP } from '@cowsliplead/daemon/core/feed/membership.js'
 import { FleetTable } from '@cowsliplead/daemon/core/control/fleetTable.js'
 import { MonotonicClock } from '@cowsliplead/daemon/core/gateway/monotonicClock.js'
 import type { Component } from '@cowsliplead/daemon/types/component.js'
@@ -54,7 +56,7 @@
   const standin = await StoreStandin.start()
   const heartbeats = startHeartbeats(standin, upstreams)
   if (registry === 'changes') clearInterval(heartbeats)
-  const stops = await Promise.all(Array.from({ length: vms }, () => startVm(standin)))
+  const stops = await Promise.all(Array.from({ length: vms }, (_, index) => startVm(standin, `vm${index}`)))
   await delay(WARM_UP_MS)
   const before = standin.usage
   await delay(MEASURED_MS)
@@ -87,17 +89,21 @@
 }
 
 /** The part of a daemon that follows the tables; returns what stops it. */
-async function startVm (standin: StoreStandin): Promise<() => Promise<void>> {
+async function startVm (standin: StoreStandin, vmId: string): Promise<() => Promise<void>> {
   const store = LogStore.create(standin.address)
   const clock = MonotonicClock.create()
   const journal = winston.createLogger({ silent: true })
   const services: ControlTarget = { config: undefined as RouteConfig | undefined, setConfig: () => {}, setUpstreams: () => {} }
-  const control = ControlState.create({ store, clock, services, journal, renewalMs: RENEWAL_MS, onConfig: () => {} })
-  const fleet = FleetTable.create({ store, clock, journal, consumers: {} })
-  const readers: readonly Component[] = [...control.readers, fleet.reader]
-  for (const reader of readers) await reader.start(fail)
+  const fleet = Fleet.create({ vmId, address: '127.0.0.1:0', store, clock, journal, onSize: () => {} })
+  const { feed, membership } = fleet
+  const control = ControlState.create({ store, clock, services, journal, feed, renewalMs: RENEWAL_MS, onConfig: () => {} })
+  const table = FleetTable.create({ store, clock, journal, feed, consumers: { [MEMBERS_GROUP]: membership } })
+  const components: readonly Component[] = [fleet.server, ...control.readers, table.reader]
+  for (const component of components) await component.start(fail)
+  fleet.start()
   return async () => {
-    for (const reader of readers) await reader.stop()
+    fleet.close()
+    for (const component of components) await component.stop()
     control.close()
     store.close()
   }
--- a/packages/bench/src/core/decisions/policies.ts
+++ b/packages/bench/src/core/decisions/policies.ts
@@ -34,6 +34,7 @@
 const PROBING_POLICY: RoutingPolicy = {
   ...DEFAULT_ROUTING_POLICY,
   measuringMessagesPerSecond: 1_000_000,
+  measuringMessagesPerUpstreamSecond: 1_000_000,
   measuringBytesPerSecond: 1_000_000_000
 }
 
--- a/packages/core/__tests__/limits.test.ts
+++ b/packages/core/__tests__/limits.test.ts
@@ -45,6 +45,7 @@
     const seconds = 10
     expect(harness.probes.length).to.be.within(seconds * 10, (seconds + 1) * 10)
     const budget = MeasuringBudget.create(DEFAULT_ROUTING_POLICY, 0)
+    budget.setUpstreams(10)
     const large = Array.from({ length: 10 }, () => budget.trySpend(1_500, 0)).filter(Boolean)
     expect(large).to.have.length(2)
   })
--- a/packages/core/__tests__/loadProbes.test.ts
+++ b/packages/core/__tests__/loadProbes.test.ts
@@ -5,7 +5,7 @@
 import { FEE, Harness, LOOKUP, upstreams } from './dispatcherHarness.js'
 import { SeededRandom } from '../src/types/randomSource.js'
 
-const PROBING = { probeUpstreams: 2, probeReportAgeMs: 50, probeWaitMs: 4, measuringMessagesPerSecond: 1000, measuringBytesPerSecond: 1e6 }
+const PROBING = { probeUpstreams: 2, probeReportAgeMs: 50, probeWaitMs: 4, measuringMessagesPerSecond: 1000, measuringMessagesPerUpstreamSecond: 1000, measuringBytesPerSecond: 1e6 }
 
 function createProbing (count: number, policy: Partial<RoutingPolicy> = {}): Harness {
   const numbers = { ...DEFAULT_ROUTING_POLICY, ...PROBING, ...policy }
@@ -61,6 +61,19 @@
     expect(poor.attemptOf(id).purpose).to.equal('first')
   })
 
+  // Guards against many VMs that ask few upstreams so often that they do little else.
+  it('sends each upstream no more probes than its share', () => {
+    const harness = createProbing(2, { measuringMessagesPerUpstreamSecond: 3 })
+    for (let calls = 0; calls < 40; calls++) {
+      harness.submit()
+      answerProbes(harness)
+      harness.advance(60)
+    }
+    const seconds = 40 * 60 / 1000
+    const { counters } = harness.dispatcher.snapshot()
+    expect(counters.probes).to.be.within(6, 2 * 3 * (seconds + 1))
+  })
+
   // Guards against a call that waits although an upstream that was not asked yet has a free slot.
   it('asks further upstreams while those that were asked are full', () => {
     const harness = createProbing(12, { usableSlotShare: 0.8, queueAllowanceCalls: 0, holdShare: 0, holdExcessPerSlot: 0.15 })
--- a/packages/core/src/core/dispatch/dispatcher.ts
+++ b/packages/core/src/core/dispatch/dispatcher.ts
@@ -30,6 +30,7 @@
   /** Replaces the upstreams by those that are registered now. */
   setUpstreams (upstreams: readonly Upstream[]): void {
     this.context.table.setUpstreams(upstreams, this.context.clock.now())
+    this.context.measuring.setUpstreams(upstreams.length)
     this.engine.pump()
   }
 
--- a/packages/core/src/types/routingPolicy.ts
+++ b/packages/core/src/types/routingPolicy.ts
@@ -135,6 +135,8 @@
 
   /** Dedicated measurement messages per VM and second. */
   readonly measuringMessagesPerSecond: number
+  /** The same for each registered upstream of a service: many VMs must not ask few upstreams too often. */
+  readonly measuringMessagesPerUpstreamSecond: number
   /** Bytes of dedicated measurement messages per VM and second. */
   readonly measuringBytesPerSecond: number
   /** Size of one probe with its answer, for the byte budget. */
@@ -204,6 +206,7 @@
   adaptiveLimitMaxCalls: 64,
   adaptiveLimitTolerance: 1.5,
   measuringMessagesPerSecond: 10,
+  measuringMessagesPerUpstreamSecond: 10,
   measuringBytesPerSecond: 4_000,
   probeBytes: 300
 }
--- a/packages/daemon/__tests__/controlState.test.ts
+++ b/packages/daemon/__tests__/controlState.test.ts
@@ -2,6 +2,7 @@
 import winston from 'winston'
 import type { Upstream } from '@cowsliplead/core/types/upstream.js'
 import type { UpstreamEntry } from '@cowsliplead/core/types/upstreamEntry.js'
+import { ChangeFeed } from '../src/core/feed/changeFeed.js'
 import { ControlState } from '../src/core/control/controlState.js'
 import { MemoryStore } from '../src/testing/memoryStore.js'
 import { sleep } from '../src/utils/sleep.js'
@@ -29,7 +30,7 @@
     let upstreams: readonly Upstream[] = []
     const services = { config: undefined, setConfig: () => {}, setUpstreams: (listed: readonly Upstream[]) => void (upstreams = listed) }
     const control = ControlState.create({
-      store, clock: slowClock, services, journal: winston.createLogger({ silent: true }),
+      store, clock: slowClock, feed: ChangeFeed.create(slowClock), services, journal: winston.createLogger({ silent: true }),
       renewalMs: RENEWAL_MS, onConfig: () => {}
     })
     for (const reader of control.readers) await reader.start(error => expect.fail(error.message))
--- a/packages/daemon/__tests__/harness.ts
+++ b/packages/daemon/__tests__/harness.ts
@@ -46,9 +46,11 @@
     readinessAddress: '127.0.0.1:0',
     readinessPath: '/ready',
     adminAddress: '127.0.0.1:0',
+    feedAddress: '127.0.0.1:0',
     graceMs: GRACE_MS,
     renewalMs: 2000,
     bodyTimeoutMs: 30_000,
+    probesPerUpstreamSecond: 60,
     retryBudget: { share: 2, calls: 120 },
     routing: { usableSlotShare: 1, probeUpstreams: 0 },
     ...overrides
--- a/packages/daemon/__tests__/sharedSuspects.test.ts
+++ b/packages/daemon/__tests__/sharedSuspects.test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai'
 import winston from 'winston'
+import { ChangeFeed } from '../src/core/feed/changeFeed.js'
 import { FleetTable } from '../src/core/control/fleetTable.js'
 import { SharedSuspects, SUSPECTS_GROUP } from '../src/core/control/sharedSuspects.js'
 import type { SuspectMark } from '@cowsliplead/core/types/suspectMark.js'
@@ -20,7 +21,7 @@
   const seen: SuspectMark[] = []
   const clock = { now: () => 500 }
   const suspects = SharedSuspects.create({ store, clock, journal, timeOfDay, importMarks: marks => seen.push(...marks) })
-  const { reader } = FleetTable.create({ store, clock, journal, consumers: { [SUSPECTS_GROUP]: suspects } })
+  const { reader } = FleetTable.create({ store, clock, journal, feed: ChangeFeed.create(clock), consumers: { [SUSPECTS_GROUP]: suspects } })
   return {
     suspects,
     seen,
--- a/packages/daemon/__tests__/tableReader.test.ts
+++ b/packages/daemon/__tests__/tableReader.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai'
 import { Result } from 'true-myth/result'
 import { MonotonicClock } from '../src/core/gateway/monotonicClock.js'
+import { ChangeFeed } from '../src/core/feed/changeFeed.js'
 import { TableReader, type TableConsumer } from '../src/core/control/tableReader.js'
 import type { ControlStore, StoreFailure, StoreResult, TableChanges, TablePage } from '../src/types/controlStore.js'
 import { sleep } from '../src/utils/sleep.js'
@@ -55,7 +56,9 @@
     onReturn: () => events.push('return'),
     onFailure: failure => events.push(failure)
   }
-  const reader = TableReader.create({ store, table: 'upstreams', consumer, clock: MonotonicClock.create(), waitMs: 0, pauseMs: 0 })
+  const clock = MonotonicClock.create()
+  const feed = ChangeFeed.create(clock)
+  const reader = TableReader.create({ store, table: 'upstreams', consumer, clock, feed, waitMs: 0, pauseMs: 0, maxFeedAgeMs: 0 })
   const expectedCalls = steps.length + 1
   await reader.start(error => events.push(error.message))
   while (store.calls.length < expectedCalls) await sleep(1)
--- a/packages/daemon/src/core/control/controlState.ts
+++ b/packages/daemon/src/core/control/controlState.ts
@@ -3,8 +3,8 @@
 import type { RouteConfig } from '@cowsliplead/core/types/routes.js'
 import type { Upstream } from '@cowsliplead/core/types/upstream.js'
 import type { UpstreamEntry } from '@cowsliplead/core/types/upstreamEntry.js'
-import type { Component } from '../../types/component.js'
 import type { ControlStore, TableRecord } from '../../types/controlStore.js'
+import type { ChangeFeed } from '../feed/changeFeed.js'
 import type { Journal } from '../operators/journal.js'
 import { logContact } from './contactLog.js'
 import { TableReader, type TableConsumer } from './tableReader.js'
@@ -12,17 +12,17 @@
 /** Key of the configuration in its table. */
 const CONFIGURATION_KEY = 'config'
 
-/** Longest wait of a read for a new configuration: a connection that went silent delays a change by no more. */
-const CONFIGURATION_WAIT_MS: Milliseconds = 2000
-
 /**
- * Longest wait of a read for a change of the upstreams. An upstream that leaves must be known within seconds, also where
- * the connection of a read has gone silent.
+ * Longest wait of a read for changes. VMs that follow this one learn from each answer that they are up to date, and an
+ * upstream that leaves must be known within seconds, also where the connection of a read has gone silent.
  */
-const UPSTREAMS_WAIT_MS: Milliseconds = 1500
+const READ_WAIT_MS: Milliseconds = 800
 
 /** Pause between two reads of the upstreams: each read has its price, and changes come in groups. */
-const UPSTREAMS_PAUSE_MS: Milliseconds = 300
+const UPSTREAMS_PAUSE_MS: Milliseconds = 200
+
+/** How old what a followed VM has read may be: its read waits and pauses, and the store may answer slowly. */
+const MAX_FEED_AGE_MS: Milliseconds = 1400
 
 const MIN_TIMER_MS: Milliseconds = 1
 
@@ -41,6 +41,7 @@
   readonly services: ControlTarget
   readonly journal: Journal
   readonly renewalMs: Milliseconds
+  readonly feed: ChangeFeed
   /** Called after a configuration was put in force. */
   readonly onConfig: () => void
 }
@@ -54,13 +55,13 @@
   private expiryTimer: NodeJS.Timeout | undefined
 
   private constructor (private readonly options: ControlStateOptions) {
-    const { store, clock, renewalMs } = options
+    const { store, clock, renewalMs, feed } = options
     this.directory = UpstreamDirectory.create({ renewalMs })
     this.configReader = TableReader.create({
-      store, clock, table: 'configuration', consumer: this.configConsumer(), waitMs: CONFIGURATION_WAIT_MS, pauseMs: 0
+      store, clock, feed, table: 'configuration', consumer: this.configConsumer(), waitMs: READ_WAIT_MS, pauseMs: 0, maxFeedAgeMs: MAX_FEED_AGE_MS
     })
     this.upstreamReader = TableReader.create({
-      store, clock, table: 'upstreams', consumer: this.upstreamConsumer(), waitMs: UPSTREAMS_WAIT_MS, pauseMs: UPSTREAMS_PAUSE_MS
+      store, clock, feed, table: 'upstreams', consumer: this.upstreamConsumer(), waitMs: READ_WAIT_MS, pauseMs: UPSTREAMS_PAUSE_MS, maxFeedAgeMs: MAX_FEED_AGE_MS
     })
   }
 
@@ -69,7 +70,7 @@
   }
 
   /** What follows the tables, for the supervisor. */
-  get readers (): readonly Component[] {
+  get readers (): readonly TableReader[] {
     return [this.configReader, this.upstreamReader]
   }
 
--- a/packages/daemon/src/core/control/fleetTable.ts
+++ b/packages/daemon/src/core/control/fleetTable.ts
@@ -1,5 +1,6 @@
 import type { Clock, Milliseconds } from '@cowsliplead/core/types/clock.js'
 import type { ControlStore, TableRecord } from '../../types/controlStore.js'
+import type { ChangeFeed } from '../feed/changeFeed.js'
 import type { Journal } from '../operators/journal.js'
 import { logContact } from './contactLog.js'
 import { TableReader, type TableConsumer } from './tableReader.js'
@@ -15,16 +16,20 @@
 
 /** Takes the records of one group of keys. */
 export interface FleetRecordConsumer {
-  /** All records of the group. */
+  /** All records of the group; none where it is empty. */
   onSnapshot (records: readonly TableRecord[]): void
   onChanges (records: readonly TableRecord[]): void
 }
 
+/** How old what a followed VM has read may be: its read waits and pauses, and the store may answer slowly. */
+const MAX_FEED_AGE_MS: Milliseconds = READ_WAIT_MS + PAUSE_MS + 800
+
 /** What the table is followed with. */
 export interface FleetTableOptions {
   readonly store: ControlStore
   readonly clock: Clock
   readonly journal: Journal
+  readonly feed: ChangeFeed
   /** Consumers by group: the part of a key before its first slash. */
   readonly consumers: Readonly<Record<string, FleetRecordConsumer>>
 }
@@ -36,8 +41,10 @@
   isKnown = false
 
   private constructor (private readonly options: FleetTableOptions) {
-    const { store, clock } = options
-    this.reader = TableReader.create({ store, clock, table: 'fleet', consumer: this.createConsumer(), waitMs: READ_WAIT_MS, pauseMs: PAUSE_MS })
+    const { store, clock, feed } = options
+    this.reader = TableReader.create({
+      store, clock, feed, table: 'fleet', consumer: this.createConsumer(), waitMs: READ_WAIT_MS, pauseMs: PAUSE_MS, maxFeedAgeMs: MAX_FEED_AGE_MS
+    })
   }
 
   static create (options: FleetTableOptions): FleetTable {
@@ -51,14 +58,15 @@
         this.isKnown = true
         this.forEachGroup(records, (consumer, group) => consumer.onSnapshot(group))
       },
-      onChanges: records => this.forEachGroup(records, (consumer, group) => consumer.onChanges(group))
+      onChanges: records => this.forEachGroup(records, (consumer, group) => {
+        if (group.length > 0) consumer.onChanges(group)
+      })
     }
   }
 
   private forEachGroup (records: readonly TableRecord[], take: (consumer: FleetRecordConsumer, group: readonly TableRecord[]) => void): void {
     for (const [name, consumer] of Object.entries(this.options.consumers)) {
-      const group = records.filter(({ key }) => groupOf(key) === name)
-      if (group.length > 0) take(consumer, group)
+      take(consumer, records.filter(({ key }) => groupOf(key) === name))
     }
   }
 }
--- a/packages/daemon/src/core/gateway/gateway.ts
+++ b/packages/daemon/src/core/gateway/gateway.ts
@@ -12,8 +12,11 @@
 import { RequestIds } from '../callers/requestIds.js'
 import { ControlState } from '../control/controlState.js'
 import { FleetTable } from '../control/fleetTable.js'
+import { Fleet } from '../feed/fleet.js'
+import { MEMBERS_GROUP } from '../feed/membership.js'
 import { PolicyState, POLICY_KEY } from '../control/policyState.js'
 import { SharedSuspects, SUSPECTS_GROUP } from '../control/sharedSuspects.js'
+import type { TableReader } from '../control/tableReader.js'
 import { Metrics } from '../operators/metrics.js'
 import { EventLoopMonitor } from '../supervision/eventLoopMonitor.js'
 import { Supervisor } from '../supervision/supervisor.js'
@@ -26,7 +29,7 @@
 import { GatewayServices } from './gatewayServices.js'
 import { MonotonicClock } from './monotonicClock.js'
 import { ReadinessServer } from './readinessServer.js'
-import { retryBudgetOf } from './retryBudgetShare.js'
+import { vmShareOf } from './vmShare.js'
 import { GATEWAY_ROUTING } from './routingDefaults.js'
 
 /** Short against the shortest stall interval. */
@@ -37,6 +40,9 @@
 /** Longest time after the start for which a VM waits for the policy document; it then serves with the defaults. */
 const POLICY_WAIT_MS: Milliseconds = 3000
 
+/** Number of VMs before the others are known. */
+const SOLE_VM = 1
+
 /** Part of the grace period in which a stopping daemon accepts connections, until the balancer has noticed. */
 const ACCEPT_SHARE = 0.55
 /** Part of the grace period after which a stopping daemon ends even with requests in flight. */
@@ -60,7 +66,8 @@
   private readonly control: ControlState
   private readonly policy: PolicyState
   private readonly suspects: SharedSuspects
-  private readonly fleet: FleetTable
+  private readonly fleetTable: FleetTable
+  private readonly fleet: Fleet
   private readonly proxy: Proxy
   private readonly callerServer: CallerServer
   private readonly readinessServer: ReadinessServer
@@ -69,6 +76,7 @@
   private readonly monitor: EventLoopMonitor
   private readonly startedAt = this.clock.now()
   private stalls = 0
+  private fleetSize = SOLE_VM
   private isStopping = false
   private touchTimer: NodeJS.Timeout | undefined
 
@@ -79,12 +87,18 @@
     const { journal } = this.log
     const metrics = this.createMetrics()
     this.services = this.createServices(metrics)
+    this.fleet = Fleet.create({
+      vmId: settings.vmId, address: settings.feedAddress, store, clock, journal, onSize: vms => this.onFleetSize(vms)
+    })
+    const { feed, membership } = this.fleet
     this.control = ControlState.create({
-      store, clock, services: this.services, journal, renewalMs: settings.renewalMs, onConfig: () => this.callerServer.applyLimits()
+      store, clock, services: this.services, journal, feed, renewalMs: settings.renewalMs, onConfig: () => this.callerServer.applyLimits()
     })
     this.policy = PolicyState.create({ journal, onDocument: document => this.services.setDocument(document) })
     this.suspects = SharedSuspects.create({ store, clock, journal, importMarks: marks => this.services.importSuspects(marks) })
-    this.fleet = FleetTable.create({ store, clock, journal, consumers: { [POLICY_KEY]: this.policy, [SUSPECTS_GROUP]: this.suspects } })
+    this.fleetTable = FleetTable.create({
+      store, clock, journal, feed, consumers: { [POLICY_KEY]: this.policy, [SUSPECTS_GROUP]: this.suspects, [MEMBERS_GROUP]: membership }
+    })
     this.proxy = this.createProxy()
     this.callerServer = CallerServer.create({
       address: settings.publicAddress, proxy: this.proxy, limits: () => this.services.config?.limits
@@ -113,6 +127,7 @@
     const { services, settings, log: { journal } } = this
     this.touchTimer = setInterval(() => services.touchWaiting(), TOUCH_INTERVAL_MS)
     for (const component of this.components()) await this.supervisor.add(component)
+    this.fleet.start()
     this.monitor.start()
     journal.info('started', { vm: settings.vmId, failureDomain: settings.failureDomain })
   }
@@ -120,7 +135,7 @@
   /** Takes over settings that may change while the daemon runs: the routing numbers and the retry budget. */
   reload (settings: GatewaySettings): void {
     this.settings = { ...this.settings, routing: settings.routing, retryBudget: settings.retryBudget }
-    this.services.setPolicy(policyOf(this.settings))
+    this.services.setPolicy(policyOf(this.settings, this.fleet.members.count))
     this.log.journal.info('settings reloaded', { retryBudget: settings.retryBudget })
   }
 
@@ -153,7 +168,7 @@
     const reasons = this.supervisor.failing().map(name => `${name} fails repeatedly`)
     reasons.push(...this.control.missing())
     const waitsForPolicy = this.clock.now() < this.startedAt + POLICY_WAIT_MS
-    if (waitsForPolicy && !this.fleet.isKnown) reasons.push('the policy is not known')
+    if (waitsForPolicy && !this.fleetTable.isKnown) reasons.push('the policy is not known')
     return reasons
   }
 
@@ -174,9 +189,20 @@
     }
   }
 
+  /** Divides what the fleet is allowed anew. */
+  private onFleetSize (vms: number): void {
+    if (vms === this.fleetSize) return
+    this.fleetSize = vms
+    this.services.setPolicy(policyOf(this.settings, vms))
+  }
+
+  private readers (): readonly TableReader[] {
+    return [...this.control.readers, this.fleetTable.reader]
+  }
+
   /** In the order of their start. */
   private components (): readonly Component[] {
-    return [...this.control.readers, this.fleet.reader, this.callerServer, this.readinessServer, this.adminServer]
+    return [this.fleet.server, ...this.readers(), this.callerServer, this.readinessServer, this.adminServer]
   }
 
   private async release (): Promise<void> {
@@ -184,6 +210,7 @@
     this.monitor.stop()
     await this.supervisor.stop()
     this.control.close()
+    this.fleet.close()
     this.suspects.close()
     this.peripherals.store.close()
     this.services.close()
@@ -201,7 +228,7 @@
       limits: { connectTimeoutMs: CONNECT_TIMEOUT_MS },
       vmId: settings.vmId,
       failureDomain: settings.failureDomain,
-      policy: policyOf(settings),
+      policy: policyOf(settings, SOLE_VM),
       observerOf: service => CallLog.create(service, log, latencies),
       onSuspects: marks => this.suspects.publish(marks)
     })
@@ -239,6 +266,8 @@
       callsInFlight: () => this.proxy.inFlight,
       logLinesLost: () => this.log.omitted + this.log.dropped,
       stalls: () => this.stalls,
+      fleet: () => this.fleet.snapshot(),
+      storeReads: () => this.readers().map(({ table, reads }) => ({ table, reads })),
       components: () => this.supervisor.states()
     })
   }
@@ -253,12 +282,13 @@
     return {
       ...this.status(),
       control: this.control.describe(),
+      fleet: this.fleet.snapshot(),
       policy: this.services.policyDocument,
       services: Object.fromEntries(this.services.all().map(host => [host.service, host.describe()]))
     }
   }
 }
 
-function policyOf (settings: GatewaySettings): RoutingPolicy {
-  return { ...DEFAULT_ROUTING_POLICY, ...GATEWAY_ROUTING, ...settings.routing, ...retryBudgetOf(settings.retryBudget) }
+function policyOf (settings: GatewaySettings, fleetSize: number): RoutingPolicy {
+  return { ...DEFAULT_ROUTING_POLICY, ...GATEWAY_ROUTING, ...settings.routing, ...vmShareOf(settings, fleetSize) }
 }
--- a/packages/daemon/src/core/gateway/gatewayServices.ts
+++ b/packages/daemon/src/core/gateway/gatewayServices.ts
@@ -143,10 +143,12 @@
 
   /** Operators may tighten the bounds that the platform sets, not widen them. */
   private policiesOf ({ name, maxConnections }: ServiceTarget): ServicePolicies {
-    const { retryBudgetShare, retryBudgetCalls } = this.policy
+    const { retryBudgetShare, retryBudgetCalls, measuringMessagesPerUpstreamSecond } = this.policy
     const base = { ...this.policy, connectionsPerUpstream: maxConnections }
     const policies = { policy: findPolicy(base, this.document, { service: name }), exceptions: findPolicyExceptions(base, this.document, name) }
-    return boundPolicies(policies, { connectionsPerUpstream: maxConnections, retryBudgetShare, retryBudgetCalls })
+    return boundPolicies(policies, {
+      connectionsPerUpstream: maxConnections, retryBudgetShare, retryBudgetCalls, measuringMessagesPerUpstreamSecond
+    })
   }
 
   private createHost ({ name }: ServiceTarget, policy: RoutingPolicy): ServiceHost {
--- a/packages/daemon/src/core/operators/metrics.ts
+++ b/packages/daemon/src/core/operators/metrics.ts
@@ -1,4 +1,5 @@
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
+import type { FleetSnapshot } from '../feed/fleet.js'
 import type { ServiceHost } from '../upstreams/serviceHost.js'
 import type { ServiceCounters } from '../upstreams/serviceCounters.js'
 import type { ComponentState } from '../supervision/supervisor.js'
@@ -14,6 +15,9 @@
   /** Log lines left out or dropped. */
   logLinesLost (): number
   callsInFlight (): number
+  fleet (): FleetSnapshot
+  /** Reads of the store since the start, by table. */
+  storeReads (): ReadonlyArray<{ readonly table: string, readonly reads: number }>
   components (): readonly ComponentState[]
 }
 
@@ -42,6 +46,10 @@
     this.addGauge('cowsliplead_policy_revision', 'Policy revision in force', () => source.policyRevision())
     this.addGauge('cowsliplead_event_loop_stalls', 'Event-loop stalls since the start', () => source.stalls())
     this.addGauge('cowsliplead_log_lines_lost', 'Log lines left out or dropped since the start', () => source.logLinesLost())
+    this.addGauge('cowsliplead_fleet_vms', 'Known entry VMs, this one included', () => source.fleet().vms)
+    this.addGauge('cowsliplead_followed_vms', 'Entry VMs that this one is connected to for changes of the store', () => source.fleet().follows.length)
+    this.addGauge('cowsliplead_followers', 'Entry VMs that take changes of the store from this one', () => source.fleet().followers)
+    this.addStoreReads(() => source.storeReads())
     this.addRestarts(() => source.components())
   }
 
@@ -106,6 +114,19 @@
     })
   }
 
+  private addStoreReads (storeReads: MetricsSource['storeReads']): void {
+    this.registry.registerMetric(new Counter({
+      name: 'cowsliplead_store_reads_total',
+      help: 'Reads of the control store',
+      labelNames: ['table'],
+      registers: [],
+      collect () {
+        this.reset()
+        for (const { table, reads } of storeReads()) this.inc({ table }, reads)
+      }
+    }))
+  }
+
   private addRestarts (components: () => readonly ComponentState[]): void {
     this.registry.registerMetric(new Counter({
       name: 'cowsliplead_component_restarts_total',
--- a/packages/daemon/src/testing/memoryStore.ts
+++ b/packages/daemon/src/testing/memoryStore.ts
@@ -23,7 +23,7 @@
   beforeWrite: (() => void) | undefined
   private readonly tables = new Map<TableName, TableRecord[]>()
 
-  private constructor () {}
+  protected constructor () {}
 
   static create (): MemoryStore {
     return new MemoryStore()
--- a/packages/daemon/src/types/gatewaySettings.ts
+++ b/packages/daemon/src/types/gatewaySettings.ts
@@ -20,6 +20,8 @@
   readonly readinessPath: string
   /** Where operators and the metrics collector connect. */
   readonly adminAddress: string
+  /** Where the other entry VMs connect. */
+  readonly feedAddress: string
   /** Time between SIGTERM and SIGKILL. */
   readonly graceMs: Milliseconds
   /** Time after the registry's return in which live upstreams renew entries that lapsed. */
@@ -27,6 +29,8 @@
   /** Longest time to receive a held request body, and longest pause of a caller within a streamed one. */
   readonly bodyTimeoutMs: Milliseconds
   readonly retryBudget: FleetRetryBudget
+  /** Load probes that one upstream may be sent by all entry VMs together. */
+  readonly probesPerUpstreamSecond: number
   /** Numbers that differ from the routing defaults. */
   readonly routing: Partial<RoutingPolicy>
 }
