--- a/packages/core/src/core/dispatch/dispatcher.ts
+++ b/packages/core/src/core/dispatch/dispatcher.ts
@@ -34,7 +34,7 @@
     this.engine.pump()
   }
 
-  /** Position of this VM in the sorted list of live entry VMs, and their number. */
+  /** Position of this VM in the sorted list of live entry VMs, and their number, for hosts that know them; 0 of 1 otherwise. */
   setEntryPosition (rank: number, count: number): void {
     this.context.setEntryPosition(rank, count)
     this.engine.pump()
--- a/packages/daemon/src/core/gateway/gateway.ts
+++ b/packages/daemon/src/core/gateway/gateway.ts
@@ -135,7 +135,7 @@
   /** Takes over settings that may change while the daemon runs: the routing numbers and the retry budget. */
   reload (settings: GatewaySettings): void {
     this.settings = { ...this.settings, routing: settings.routing, retryBudget: settings.retryBudget }
-    this.services.setPolicy(policyOf(this.settings, this.fleet.members.count))
+    this.services.setPolicy(policyOf(this.settings, this.fleetSize), this.fleetSize)
     this.log.journal.info('settings reloaded', { retryBudget: settings.retryBudget })
   }
 
@@ -193,7 +193,7 @@
   private onFleetSize (vms: number): void {
     if (vms === this.fleetSize) return
     this.fleetSize = vms
-    this.services.setPolicy(policyOf(this.settings, vms))
+    this.services.setPolicy(policyOf(this.settings, vms), vms)
   }
 
   private readers (): readonly TableReader[] {
--- a/packages/daemon/src/core/gateway/gatewayServices.ts
+++ b/packages/daemon/src/core/gateway/gatewayServices.ts
@@ -20,10 +20,6 @@
 import type { TickTimer } from '../supervision/tickTimer.js'
 import { UpstreamConnections, type ConnectionLimits } from '../upstreams/upstreamConnections.js'
 
-// VMs do not know how many they are; load reports tell each one what the others do.
-const SOLE_RANK = 0
-const SOLE_COUNT = 1
-
 const EMPTY_DOCUMENT: PolicyDocument = policyDocumentSchema.parse({})
 
 /** What the services are made of. */
@@ -50,6 +46,8 @@
   /** Undefined until the upstreams were read; an empty first list would make the real ones look newly started. */
   private upstreams: readonly Upstream[] | undefined
   private document = EMPTY_DOCUMENT
+  /** Known entry VMs; the others are not known at first. */
+  private vms = 1
   /** Hosts of services that no configuration names any more, until their last call ends. */
   private retired: ServiceHost[] = []
 
@@ -90,9 +88,10 @@
     this.closeRetired()
   }
 
-  /** Takes over numbers of the settings that changed. */
-  setPolicy (policy: RoutingPolicy): void {
+  /** Takes over numbers of the settings that changed, and the number of entry VMs. */
+  setPolicy (policy: RoutingPolicy, vms: number): void {
     this.policy = policy
+    this.vms = vms
     this.putHosts()
   }
 
@@ -170,7 +169,7 @@
   private updateUpstreams (host: ServiceHost): void {
     if (this.upstreams === undefined) return
     const own = this.upstreams.filter(({ service }) => service === host.service)
-    host.setUpstreams(own, SOLE_RANK, SOLE_COUNT)
+    host.setUpstreams(own, this.vms)
   }
 
   private retire (service: string): void {
--- a/packages/daemon/src/core/upstreams/serviceHost.ts
+++ b/packages/daemon/src/core/upstreams/serviceHost.ts
@@ -105,10 +105,9 @@
     this.afterEvent()
   }
 
-  /** Takes the registered upstreams of the service and this VM's position among the entry VMs. */
-  setUpstreams (upstreams: readonly Upstream[], entryRank: number, entryCount: number): void {
-    this.connections.setUpstreams(upstreams, entryCount)
-    this.dispatcher.setEntryPosition(entryRank, entryCount)
+  /** Takes the registered upstreams of the service and the number of entry VMs, which divide their connections. */
+  setUpstreams (upstreams: readonly Upstream[], vms: number): void {
+    this.connections.setUpstreams(upstreams, vms)
     this.dispatcher.setUpstreams(upstreams)
     this.noteUpstreams(upstreams.length)
     this.afterEvent()
--- a/packages/daemon/src/core/upstreams/upstreamConnections.ts
+++ b/packages/daemon/src/core/upstreams/upstreamConnections.ts
@@ -8,6 +8,9 @@
   readonly connectTimeoutMs: Milliseconds
 }
 
+/** A VM needs a connection for a probe beside the one of an attempt; in large fleets, each VM uses a part of the upstreams only. */
+const LEAST_CONNECTIONS = 2
+
 /** Connection sets of one service, one for each upstream. */
 export class UpstreamConnections {
   private readonly sets = new Map<string, { readonly origin: string, readonly set: ConnectionSet }>()
@@ -57,7 +60,7 @@
 
   private update (upstream: Upstream, entryCount: number): void {
     const { connectionsPerUpstream } = this.exceptions.get(upstream.id) ?? this.policy
-    const limit = Math.max(Math.floor(connectionsPerUpstream / Math.max(entryCount, 1)), 1)
+    const limit = Math.max(Math.floor(connectionsPerUpstream / Math.max(entryCount, 1)), LEAST_CONNECTIONS)
     const provenMs = this.policy.provenConnectionMs
     const origin = originOf(upstream)
     const known = this.sets.get(upstream.id)
