Leave out member records whose address cannot be used

A record of another writer with an address that is no address made the connection to it throw inside the reader of the table fleet, which was then started again and again. feed.test.ts fails before: such records count as members.

--- a/packages/daemon/__tests__/feed.test.ts
+++ b/packages/daemon/__tests__/feed.test.ts
@@ -186,6 +186,24 @@
   })
 })
 
+describe('member records', () => {
+  // Guards against a VM that stops to follow the store because another writer's record cannot be used.
+  it('that cannot be used are left out', async () => {
+    const shared = MemoryStore.create()
+    for (const value of ['{', '{}', '{"feedAddress":"10.0.0.1:99999"}', '{"feedAddress":"no address"}']) {
+      shared.records('fleet').push({ key: `member/vm${value.length}`, value: Buffer.from(value) })
+    }
+    const vm = new Vm('vm0', shared)
+    await vm.start()
+    try {
+      await until(() => shared.records('fleet').length === 5)
+      expect(vm.fleet.snapshot()).to.include({ vms: 1, followers: 0 })
+    } finally {
+      await vm.stop()
+    }
+  })
+})
+
 describe('a VM that a member record says is elsewhere', () => {
   // Guards against a VM that nobody can follow because another one removed its record.
   it('announces itself again', async () => {
--- a/packages/daemon/src/core/feed/membership.ts
+++ b/packages/daemon/src/core/feed/membership.ts
@@ -12,7 +12,7 @@
 
 const RETRY_MS: Milliseconds = 2000
 
-const RECORD = z.object({ feedAddress: z.string().min(1) })
+const RECORD = z.object({ feedAddress: z.string().refine(address => URL.canParse(`ws://${address}`)) })
 
 /** What membership needs. */
 export interface MembershipOptions {
