--- a/packages/bench/src/core/experiments/fleet.ts
+++ b/packages/bench/src/core/experiments/fleet.ts
@@ -15,6 +15,9 @@
   readonly graceS: number
 }
 
+/** Enough to lose one daemon of three, and small enough for every test run. */
+export const SMALL_FLEET: Omit<FleetPlan, 'seed'> = { entryCount: 3, registerUpstreams: 6, mapUpstreams: 1, graceS: 1 }
+
 const MEAN_SERVICE_MS = 5
 const MAP_SLOTS = 16
 const CONTROL_TIMEOUT_MS = 5000
--- a/packages/bench/src/core/experiments/freeze.ts
+++ b/packages/bench/src/core/experiments/freeze.ts
@@ -2,7 +2,7 @@
 import { SeededRandom } from '@cowsliplead/core/types/randomSource.js'
 import type { Experiment, ExperimentOptions, ExperimentResult } from '../../types/experiments.js'
 import { checkCalls } from './checks.js'
-import { Fleet } from './fleet.js'
+import { Fleet, SMALL_FLEET } from './fleet.js'
 import { measureOtherEnds, measurePhases } from './measurements.js'
 import { MixedLoad } from './mixedLoad.js'
 
@@ -16,8 +16,7 @@
   name: 'freeze',
   description: 'one of three daemons gets SIGSTOP for 10 s under load',
   run: options => {
-    const plan = { seed: options.seed, entryCount: 3, registerUpstreams: 6, mapUpstreams: 1, graceS: 1 }
-    return Fleet.with(plan, fleet => freezeOne(fleet, options))
+    return Fleet.with({ ...SMALL_FLEET, seed: options.seed }, fleet => freezeOne(fleet, options))
   }
 }
 
--- a/packages/bench/src/core/experiments/kill.ts
+++ b/packages/bench/src/core/experiments/kill.ts
@@ -3,7 +3,7 @@
 import type { EntryVm } from '@cowsliplead/platform/standin/localDeployment.js'
 import type { Experiment, ExperimentOptions, ExperimentResult } from '../../types/experiments.js'
 import { checkCalls } from './checks.js'
-import { Fleet } from './fleet.js'
+import { Fleet, SMALL_FLEET } from './fleet.js'
 import { measureOtherEnds, measurePhases } from './measurements.js'
 import { MixedLoad } from './mixedLoad.js'
 
@@ -17,8 +17,7 @@
   name: 'kill',
   description: 'one of three daemons gets SIGKILL under load and is started again',
   run: options => {
-    const plan = { seed: options.seed, entryCount: 3, registerUpstreams: 6, mapUpstreams: 1, graceS: 1 }
-    return Fleet.with(plan, fleet => killOne(fleet, options))
+    return Fleet.with({ ...SMALL_FLEET, seed: options.seed }, fleet => killOne(fleet, options))
   }
 }
 
--- a/packages/bench/src/core/experiments/storeDown.ts
+++ b/packages/bench/src/core/experiments/storeDown.ts
@@ -2,7 +2,7 @@
 import { SeededRandom } from '@cowsliplead/core/types/randomSource.js'
 import type { Experiment, ExperimentOptions, ExperimentResult } from '../../types/experiments.js'
 import { checkCalls } from './checks.js'
-import { Fleet } from './fleet.js'
+import { Fleet, SMALL_FLEET } from './fleet.js'
 import { measureOtherEnds, measurePhases } from './measurements.js'
 import { MixedLoad } from './mixedLoad.js'
 
@@ -14,8 +14,7 @@
   name: 'storedown',
   description: 'the control store does not answer for 20 s under load, and an upstream is killed meanwhile',
   run: options => {
-    const plan = { seed: options.seed, entryCount: 3, registerUpstreams: 6, mapUpstreams: 1, graceS: 1 }
-    return Fleet.with(plan, fleet => interruptStore(fleet, options))
+    return Fleet.with({ ...SMALL_FLEET, seed: options.seed }, fleet => interruptStore(fleet, options))
   }
 }
 
