Fail the reader, not the process, where a change from the feed cannot be taken

A consumer that throws on a change which another VM handed on threw into the connection that brought it, outside the supervised reader: one record would have ended the processes of all followers. feed.test.ts fails before with an uncaught error.

--- a/packages/daemon/__tests__/feed.test.ts
+++ b/packages/daemon/__tests__/feed.test.ts
@@ -55,6 +55,8 @@
 /** The part of a daemon that follows the store and the other VMs. */
 class Vm {
   readonly keys: string[] = []
+  onTake: () => void = () => {}
+  onFailure: (error: Error) => void = error => expect.fail(error.message)
   /** When the reader last told that the store answers again. */
   returnedAt: number | undefined
   readonly store: VmStore
@@ -69,7 +71,10 @@
     this.fleet = Fleet.create({ vmId, address: '127.0.0.1:0', store, clock, journal, onSize: () => {} })
     const { feed, membership, server } = this.fleet
     const table = FleetTable.create({ store, clock, journal, feed, consumers: { [MEMBERS_GROUP]: membership } })
-    const take = (records: readonly TableRecord[]): void => void this.keys.push(...records.map(({ key }) => key))
+    const take = (records: readonly TableRecord[]): void => {
+      this.onTake()
+      this.keys.push(...records.map(({ key }) => key))
+    }
     const reader = TableReader.create({
       store, clock, feed, table: 'upstreams', waitMs: READ_WAIT_MS, pauseMs: 0, maxFeedAgeMs: MAX_FEED_AGE_MS,
       consumer: { onSnapshot: take, onChanges: take, onReturn: () => void (this.returnedAt = performance.now()), onFailure: () => {} }
@@ -78,7 +83,7 @@
   }
 
   async start (): Promise<void> {
-    for (const part of this.parts) await part.start(error => expect.fail(error.message))
+    for (const part of this.parts) await part.start(error => this.onFailure(error))
     this.fleet.start()
   }
 
@@ -153,6 +158,19 @@
     for (const vm of vms) expect(vm.returnedAt).to.be.within(changedAt - 2 * MAX_FEED_AGE_MS - 500, changedAt)
   })
 
+  // Guards against one record that ends the processes of all followers at once.
+  it('fails the reader, not the process, where a change cannot be taken', async () => {
+    const failed = new Set<Vm>()
+    for (const vm of followers()) {
+      vm.onFailure = () => void failed.add(vm)
+      vm.onTake = () => {
+        throw new Error('test')
+      }
+    }
+    shared.records('upstreams').push(record('b'))
+    await until(() => failed.size === 6)
+  })
+
   // Guards against the link of a small VM that is held up by copies of a large configuration.
   it('is not handed on but read by each where it is large', async () => {
     const before = followers().map(vm => vm.store.reads)
--- a/packages/daemon/src/core/control/tableReader.ts
+++ b/packages/daemon/src/core/control/tableReader.ts
@@ -52,6 +52,7 @@
   private retryMs = FIRST_RETRY_MS
   private offset: number | undefined
   private answeredAt: Milliseconds | undefined
+  private fail: (error: Error) => void = () => {}
 
   private constructor (private readonly options: TableReaderOptions) {
     this.name = `reader of ${options.table}`
@@ -76,11 +77,14 @@
     this.stopped = new AbortController()
     // A consumer that failed may have taken a part of the changes only.
     this.offset = undefined
+    this.fail = onFailure
     this.run(this.stopped.signal).catch(onFailure)
   }
 
   async stop (): Promise<void> {
     this.stopped.abort()
+    // What is handed on meanwhile belongs to the snapshot that follows.
+    this.offset = undefined
   }
 
   private async run (stopped: AbortSignal): Promise<void> {
@@ -136,8 +140,13 @@
     // A gap is filled from the store: the position of the followed VM is then ahead of this one's.
     if (this.offset === undefined || changes.from > this.offset) return
     if (changes.from + changes.records.length <= this.offset) return
-    this.onAnswer()
-    this.apply(changes)
+    try {
+      this.onAnswer()
+      this.apply(changes)
+    } catch (error) {
+      // Thrown into the connection that brought the changes, it would end the process.
+      this.fail(error as Error)
+    }
   }
 
   /** Applies the part of the changes that is new: another VM may have handed on some of them meanwhile. */
