Revert "Ask upstreams beyond the full ones where no room is known"

A failed try. VMs spent all probes that they may send without finding room, and each connection opened for one may hold a slot.

A change has to bound what it asks by what it finds.

--- a/packages/core/__tests__/loadProbes.test.ts
+++ b/packages/core/__tests__/loadProbes.test.ts
@@ -91,33 +91,6 @@
     expect(harness.attemptOf(id).upstreamId).to.equal(free)
   })
 
-  // Guards against a call that waits beside a free upstream because full ones with fresh reports look better (inc-0062).
-  it('asks upstreams whose old reports show a queue while the better ones are known to be full', () => {
-    const harness = createProbing(12, { usableSlotShare: 0.8, queueAllowanceCalls: 0, holdShare: 0, holdExcessPerSlot: 0.15 })
-    const free = 'u010'
-    const full = ['u000', 'u002', 'u004']
-    for (let calls = 0; calls < 20; calls++) {
-      const answered = harness.submit(FEE, { deadlineAt: harness.clock.now() + 5000 })
-      answerProbes(harness)
-      harness.advance(200)
-      harness.end(harness.attemptOf(answered))
-    }
-    const running = harness.submit(FEE, { deadlineAt: harness.clock.now() + 5000 })
-    answerProbes(harness)
-    for (const { id } of upstreams(12)) harness.dispatcher.onProbeReport(id, harness.report({ slots: 4, inFlight: 4, queued: 8 }))
-    harness.advance(100)
-    for (const id of full) harness.dispatcher.onProbeReport(id, harness.report({ slots: 4, inFlight: 3 }))
-    const id = harness.submit(FEE, { deadlineAt: harness.clock.now() + 5000 })
-    for (let rounds = 0; rounds < 8 && harness.started.every(({ callId }) => callId !== id); rounds++) {
-      for (const upstream of harness.probes.splice(0)) {
-        harness.dispatcher.onProbeReport(upstream, harness.report({ slots: 4, inFlight: upstream === free ? 0 : 4 }))
-      }
-      harness.advance(1)
-    }
-    expect(harness.attemptOf(id).upstreamId).to.equal(free)
-    expect(harness.results.has(running)).to.equal(false)
-  })
-
   // Guards against a call that is sent although its caller has left while it waited for probes.
   it('drops a call whose caller leaves meanwhile', () => {
     const harness = createProbing(2)
--- a/packages/core/src/core/routing/loadProbes.ts
+++ b/packages/core/src/core/routing/loadProbes.ts
@@ -1,4 +1,3 @@
-import type { UpstreamView } from '../../types/picker.js'
 import type { Timer } from '../../utils/timerQueue.js'
 import type { CallState } from '../dispatch/callState.js'
 import type { RoutingContext } from '../dispatch/routingContext.js'
@@ -37,7 +36,7 @@
     const now = clock.now()
     if (policy.probeUpstreams === 0) return false
     if (isRoomKnown && now - state.probedAt < policy.probeReportAgeMs) return false
-    const upstreams = new Set(this.targetsFor(state, isRoomKnown).filter(upstream => this.isProbed(upstream)))
+    const upstreams = new Set(this.targetsFor(state).filter(upstream => this.isProbed(upstream)))
     if (upstreams.size === 0) return false
     state.probedAt = now
     const timer = timers.schedule(now + policy.probeWaitMs, () => this.end(state))
@@ -65,19 +64,14 @@
     this.resume(state)
   }
 
-  /**
-   * The best upstreams whose reports are old, within the failure domain of the best one. Where no room is known, those
-   * with fresh reports are full, so that the best of the others are asked, however far down they are.
-   */
-  private targetsFor (state: CallState, isRoomKnown: boolean): UpstreamState[] {
+  /** The best upstreams whose reports are old, within the failure domain of the best one. */
+  private targetsFor (state: CallState): UpstreamState[] {
     const { policy, clock, table } = this.context
+    const ranked = rankUpstreams(this.context, state, policy.probeUpstreams)
     const oldest = clock.now() - policy.probeReportAgeMs
-    const isOld = ({ report }: UpstreamView): boolean => report === undefined || report.receivedAt < oldest
-    const ranked = rankUpstreams(this.context, state, isRoomKnown ? policy.probeUpstreams : Infinity)
-    const asked = isRoomKnown ? ranked : ranked.filter(isOld).slice(0, policy.probeUpstreams)
-    return asked
-      .filter(({ upstream }) => upstream.failureDomain === asked[0]?.upstream.failureDomain)
-      .filter(isOld)
+    return ranked
+      .filter(({ upstream }) => upstream.failureDomain === ranked[0]?.upstream.failureDomain)
+      .filter(({ report }) => report === undefined || report.receivedAt < oldest)
       .map(({ upstream }) => table.get(upstream.id) as UpstreamState)
   }
 
