--- a/packages/daemon/src/core/gateway/vmShare.ts
+++ b/packages/daemon/src/core/gateway/vmShare.ts
@@ -10,8 +10,11 @@
  */
 const EARNED_SHARE = 0.5
 
-/** Part of the probes that an upstream may be sent which the known VMs use; the rest is left to VMs that join. */
-const PROBE_SHARE = 0.8
+/**
+ * Part of the probes that an upstream may be sent which the known VMs use. Under overload, when calls wait because no
+ * upstream has room, they use all of it without finding any.
+ */
+const PROBE_SHARE = 0.3
 
 /** What one VM may spend of what the fleet is allowed, where `vms` VMs are known. */
 export function vmShareOf ({ retryBudget, probesPerUpstreamSecond }: GatewaySettings, vms: number): Partial<RoutingPolicy> {
