Read the used upstreams where they are shown; tidy the feed

The gauge of the upstreams that a VM uses kept the number of the last change of the list, so that a subset that grew under load did not show.

--- a/packages/daemon/src/core/feed/feedFollower.ts
+++ b/packages/daemon/src/core/feed/feedFollower.ts
@@ -15,7 +15,7 @@
 /** A followed VM that has read the store this much longer ago than this VM is cut off from the store. */
 const LAG_MS: Milliseconds = 2000
 
-/** A VM that could not be followed this often in a row, over three minutes and more, has left the fleet. */
+/** A VM that could not be followed this often in a row, over two and a half minutes and more, has left the fleet. */
 const FAILURES_UNTIL_GONE = 6
 
 interface Outage {
--- a/packages/daemon/src/core/feed/feedServer.ts
+++ b/packages/daemon/src/core/feed/feedServer.ts
@@ -21,7 +21,7 @@
   readonly address: string
   readonly feed: ChangeFeed
   /** The number of followers changed. */
-  readonly onFollowers: (count: number) => void
+  readonly onFollowers: () => void
 }
 
 /** Hands what this VM reads from the store to the VMs that follow it. */
@@ -83,9 +83,9 @@
   private accept (socket: WebSocket): void {
     const { onFollowers } = this.options
     socket.on('error', () => socket.terminate())
-    socket.on('close', () => onFollowers(this.followers))
+    socket.on('close', onFollowers)
     socket.send(JSON.stringify(this.positions()))
-    onFollowers(this.followers)
+    onFollowers()
   }
 
   private positions (): FeedMessage {
--- a/packages/daemon/src/core/feed/membership.ts
+++ b/packages/daemon/src/core/feed/membership.ts
@@ -65,10 +65,8 @@
 
   private takeAll (records: readonly TableRecord[]): void {
     for (const record of records) this.take(record)
-    const { members, own, onChange } = this.options
-    const { vmId, feedAddress } = own()
-    if (members.get(vmId)?.feedAddress !== feedAddress) void this.announce()
-    onChange()
+    if (!this.isAnnounced()) void this.announce()
+    this.options.onChange()
   }
 
   private take ({ key, value }: TableRecord): void {
@@ -92,9 +90,14 @@
 
   private announceAgain (): void {
     this.timer = undefined
+    if (!this.isAnnounced()) void this.announce()
+  }
+
+  /** Whether the table has this VM with its present address. */
+  private isAnnounced (): boolean {
     const { members, own } = this.options
     const { vmId, feedAddress } = own()
-    if (members.get(vmId)?.feedAddress !== feedAddress) void this.announce()
+    return members.get(vmId)?.feedAddress === feedAddress
   }
 }
 
--- a/packages/daemon/src/core/upstreams/serviceHost.ts
+++ b/packages/daemon/src/core/upstreams/serviceHost.ts
@@ -52,7 +52,8 @@
   readonly counters = ServiceCounters.create()
   private healthPath = '/'
   private registered = 0
-  private used = 0
+  /** Upstreams in use when they were last logged. */
+  private loggedUsed = 0
   /** The attempt whose end the dispatcher is dealing with; a call is delivered from it. */
   private endingAttempt: AttemptRun | undefined
   private readonly calls = new Map<number, CallRun>()
@@ -90,7 +91,7 @@
 
   /** Registered upstreams of the service, and those of them that this VM uses. */
   get upstreamCounts (): { readonly registered: number, readonly used: number } {
-    return { registered: this.registered, used: this.used }
+    return { registered: this.registered, used: this.dispatcher.upstreamCount }
   }
 
   /** Connections to the upstreams of the service. */
@@ -250,9 +251,9 @@
 
   private noteUpstreams (registered: number): void {
     const used = this.dispatcher.upstreamCount
-    if (registered === this.registered && used === this.used) return
+    if (registered === this.registered && used === this.loggedUsed) return
     this.registered = registered
-    this.used = used
+    this.loggedUsed = used
     this.options.observer?.onUpstreams(registered, used)
   }
 
