Hold calls back from full upstreams also where no candidate runs an attempt of this VM

Cause: a VM held calls back only if the candidates carried attempts of its own. With one usable slot an upstream with an own attempt is no candidate, so the sum was always 0 and every call was sent, however long the queues. The attempts under way now come from all upstreams in use.

Whole test run: 468 passed, 0 failed, 32 skipped.

--- a/packages/bench/__tests__/pickers.test.ts
+++ b/packages/bench/__tests__/pickers.test.ts
@@ -26,7 +26,7 @@
 
 function createContext (overrides: Partial<PickContext> = {}): PickContext {
   return {
-    now: 1000, random: SeededRandom.create(1), kind: LOAD_MIX[0]!.kind, entryCount: 6, entryRank: 0, avoidedDomains: new Set(), ...overrides
+    now: 1000, random: SeededRandom.create(1), kind: LOAD_MIX[0]!.kind, runningAttempts: 0, entryCount: 6, entryRank: 0, avoidedDomains: new Set(), ...overrides
   }
 }
 
--- a/packages/core/__tests__/loadProbes.test.ts
+++ b/packages/core/__tests__/loadProbes.test.ts
@@ -119,6 +119,21 @@
     expect(harness.started).to.have.length(3)
     expect(harness.dispatcher.snapshot().queued).to.equal(2)
   })
+
+  // Guards against calls that queue at full upstreams, where they are late, because the VM's own attempts fill the rest.
+  it('holds calls back from full upstreams that run none of its attempts', () => {
+    const policy = { usableSlotShare: 0.8, queueAllowanceCalls: 0, holdShare: 0, holdExcessPerSlot: 0.15 }
+    const harness = Harness.create(3, policy, ExpectedDelayPicker.create({ ...DEFAULT_ROUTING_POLICY, ...policy }))
+    for (const { id } of createUpstreams(3)) harness.dispatcher.onProbeReport(id, harness.report({ slots: 2, inFlight: 0 }))
+    harness.submit()
+    const [running] = harness.started
+    for (const { id } of createUpstreams(3).filter(({ id }) => id !== running?.upstreamId)) {
+      harness.dispatcher.onProbeReport(id, harness.report({ slots: 2, inFlight: 2, queued: 2 }))
+    }
+    harness.submit()
+    expect(harness.started).to.have.length(1)
+    expect(harness.dispatcher.snapshot().queued).to.equal(1)
+  })
 })
 
 describe('failure domains', () => {
--- a/packages/core/__tests__/pickers.test.ts
+++ b/packages/core/__tests__/pickers.test.ts
@@ -9,6 +9,7 @@
   now: 1_000,
   random: SeededRandom.create(3),
   kind: LOOKUP,
+  runningAttempts: 1,
   entryCount: 6,
   entryRank: 0,
   avoidedDomains: new Set()
--- a/packages/core/src/core/health/upstreamTable.ts
+++ b/packages/core/src/core/health/upstreamTable.ts
@@ -107,6 +107,11 @@
     state.drainingUntil = Math.max(state.drainingUntil, until)
   }
 
+  /** Attempts of this VM in flight at the upstreams in use. */
+  countInFlight (): number {
+    return this.used.reduce((sum, { inFlight }) => sum + inFlight, 0)
+  }
+
   snapshotOf (state: UpstreamState, now: Milliseconds): UpstreamSnapshot {
     return {
       id: state.upstream.id,
--- a/packages/core/src/core/routing/expectedDelayPicker.ts
+++ b/packages/core/src/core/routing/expectedDelayPicker.ts
@@ -68,7 +68,7 @@
       best = view
       bestCost = cost
     }
-    return shortestQueuePerSlot > this.holdThresholdPerSlot(summary, context) && this.isShareUsed(summary) ? undefined : best
+    return shortestQueuePerSlot > this.holdThresholdPerSlot(summary, context) && this.isShareUsed(summary, context) ? undefined : best
   }
 
   rank (candidates: readonly UpstreamView[], context: PickContext, count: number): readonly UpstreamView[] {
@@ -92,9 +92,10 @@
   /**
    * Whether the attempts under way fill this VM's share of the slots. A call that waits keeps every choice open, but
    * below its share a VM must not hold calls back: if all VMs waited, no responses would carry the reports they wait for.
+   * Attempts at upstreams that are not candidates count as under way too: with one usable slot, no candidate has any.
    */
-  private isShareUsed (summary: CandidateSummary): boolean {
-    return summary.ownInFlight > 0 && summary.ownInFlight >= summary.ownSlots * this.policy.holdShare
+  private isShareUsed (summary: CandidateSummary, { runningAttempts }: PickContext): boolean {
+    return runningAttempts > 0 && summary.ownInFlight >= summary.ownSlots * this.policy.holdShare
   }
 
   private estimate (view: UpstreamView, summary: CandidateSummary, context: PickContext): DelayEstimate {
--- a/packages/core/src/core/routing/upstreamChoice.ts
+++ b/packages/core/src/core/routing/upstreamChoice.ts
@@ -63,6 +63,7 @@
     now,
     random: context.options.random,
     kind: state.call.kind,
+    runningAttempts: context.table.countInFlight(),
     entryCount: context.entryCount,
     entryRank: context.entryRank,
     avoidedDomains: state.triedDomains,
--- a/packages/core/src/types/picker.ts
+++ b/packages/core/src/types/picker.ts
@@ -36,6 +36,8 @@
   readonly kind: RequestKind
   /** Number of live entry VMs, this one included. */
   readonly entryCount: number
+  /** Attempts of this VM in flight at all upstreams of the service, whether candidates or not. */
+  readonly runningAttempts: number
   /** Position of this VM in the sorted list of live entry VMs, from 0. */
   readonly entryRank: number
   /** Failure domains to avoid while another one has room; those of earlier attempts of the call. */
