--- a/packages/bench/src/core/capacity/controlCost.ts
+++ b/packages/bench/src/core/capacity/controlCost.ts
@@ -95,7 +95,7 @@
   const clock = MonotonicClock.create()
   const logger = winston.createLogger({ silent: true })
   const services: ControlTarget = { config: undefined as RouteConfig | undefined, setConfig: () => {}, setUpstreams: () => {} }
-  const fleet = Fleet.create({ vmId, address: '127.0.0.1:0', store, clock, logger, onSizeChange: () => {} })
+  const fleet = Fleet.create({ vmId, failureDomain: 'nyeri', address: '127.0.0.1:0', store, clock, logger, onSizeChange: () => {} })
   const { feed, membership } = fleet
   const control = ControlState.create({ store, clock, services, logger, feed, renewalMs: RENEWAL_MS, onConfig: () => {} })
   const table = FleetTable.create({ store, clock, logger, feed, consumers: { [MEMBERS_GROUP]: membership } })
--- a/packages/core/__tests__/fleetMembers.test.ts
+++ b/packages/core/__tests__/fleetMembers.test.ts
@@ -1,52 +1,75 @@
 import { expect } from 'chai'
 import { FleetMembers, type LivenessCheck } from '../src/core/membership/fleetMembers.js'
+import type { FleetRole } from '../src/types/fleetMember.js'
+
+const DOMAINS = 5
 
 const allUp: LivenessCheck = () => true
 
+function domainOf (vmId: string): string {
+  return `domain${Number(vmId.slice(2)) % DOMAINS}`
+}
+
+function idsOf (size: number): string[] {
+  return Array.from({ length: size }, (_, index) => `vm${index}`)
+}
+
 function fleetOf (ownId: string, size: number): FleetMembers {
   const members = FleetMembers.create(ownId)
-  for (let index = 0; index < size; index++) members.put({ vmId: `vm${index}`, feedAddress: `10.0.0.${index}:7660` })
+  for (const vmId of idsOf(size)) members.put({ vmId, feedAddress: `10.0.0.1:${7000 + Number(vmId.slice(2))}`, failureDomain: domainOf(vmId) })
   return members
 }
 
-/** Ids of the VMs that consider themselves sources; each VM decides independently. */
-function sourcesOf (size: number, isUp: LivenessCheck = allUp): string[] {
-  const ids = Array.from({ length: size }, (_, index) => `vm${index}`)
-  return ids.filter(id => fleetOf(id, size).isSource(vmId => vmId === id || isUp(vmId)))
+/** Ids of the VMs that consider themselves in a role; each VM decides independently. */
+function vmsInRole (role: FleetRole, size: number, isUp: LivenessCheck = allUp): string[] {
+  return idsOf(size).filter(id => fleetOf(id, size).role(vmId => vmId === id || isUp(vmId)) === role)
+}
+
+function followedBy (vmId: string, size: number): string[] {
+  return fleetOf(vmId, size).membersToFollow(allUp).map(member => member.vmId)
 }
 
 describe('FleetMembers', () => {
-  // Guards against every VM reading the store, and against an unbounded number of followers per source.
-  for (const [size, sources] of [[1, 1], [2, 2], [6, 2], [47, 3], [300, 14]] as const) {
-    it(`chooses ${sources} of ${size} VMs as sources`, () => {
-      expect(sourcesOf(size)).to.have.length(sources)
+  // Guards against reads of the store that grow with the fleet.
+  for (const [size, standbys] of [[1, 0], [2, 1], [6, 1], [47, 1], [124, 1], [300, 1]] as const) {
+    it(`chooses one of ${size} VMs as the source, and ${standbys} as its standby`, () => {
+      expect(vmsInRole('source', size)).to.have.length(1)
+      expect(vmsInRole('standby', size)).to.have.length(standbys)
     })
   }
 
-  // Guards against VMs that all wait for one another to read the store.
-  it('makes each other VM follow two sources and spreads the followers about evenly', () => {
-    const sources = new Set(sourcesOf(300))
-    const followers = new Map<string, number>()
-    for (let index = 0; index < 300; index++) {
-      const sourceIds = fleetOf(`vm${index}`, 300).sourcesToFollow(allUp).map(({ vmId }) => vmId)
-      expect(sourceIds).to.have.length(sources.has(`vm${index}`) ? 0 : 2)
-      for (const vmId of sourceIds) followers.set(vmId, (followers.get(vmId) ?? 0) + 1)
+  it('lets relays follow the source and its standby, and followers two relays of their own failure domain', () => {
+    const sources = [...vmsInRole('source', 124), ...vmsInRole('standby', 124)]
+    const relays = vmsInRole('relay', 124)
+    for (const vmId of relays) expect(followedBy(vmId, 124)).to.have.members(sources)
+    for (const vmId of vmsInRole('follower', 124)) {
+      const followed = followedBy(vmId, 124)
+      expect(followed).to.have.length(2)
+      expect(followed.every(id => domainOf(id) === domainOf(vmId) && [...relays, ...sources].includes(id))).to.equal(true)
     }
-    expect([...followers.keys()].every(vmId => sources.has(vmId))).to.equal(true)
-    const mean = 2 * (300 - sources.size) / sources.size
-    expect(Math.max(...followers.values())).to.be.at.most(mean * 2)
+  })
+
+  // Guards against a VM whose link is saturated by its followers.
+  it('spreads the followers about evenly and bounds them', () => {
+    const followers = new Map<string, number>()
+    for (const vmId of idsOf(300).flatMap(id => followedBy(id, 300))) followers.set(vmId, (followers.get(vmId) ?? 0) + 1)
+    expect(Math.max(...followers.values())).to.be.at.most(60)
   })
 
   // Guards against a fleet that stops reading the store when its sources fail.
-  it('replaces sources that are down', () => {
-    const before = sourcesOf(47)
-    const after = sourcesOf(47, vmId => !before.includes(vmId))
-    expect(after.filter(vmId => !before.includes(vmId))).to.have.length(3)
+  it('replaces the source, its standby and relays that are down', () => {
+    const sources = [...vmsInRole('source', 47), ...vmsInRole('standby', 47)]
+    const relays = vmsInRole('relay', 47)
+    const isLeft: LivenessCheck = vmId => !sources.includes(vmId) && !relays.includes(vmId)
+    expect(vmsInRole('source', 47, isLeft).filter(isLeft)).to.have.length(1)
+    expect(vmsInRole('standby', 47, isLeft).filter(isLeft)).to.have.length(1)
+    expect(vmsInRole('relay', 47, isLeft).filter(isLeft)).to.have.length.within(2 * DOMAINS - 2, 2 * DOMAINS)
   })
 
-  it('makes a VM that is not registered yet a source', () => {
+  it('gives a VM that is not registered yet no role', () => {
     const members = fleetOf('new', 6)
-    expect(members.isSource(allUp)).to.equal(true)
+    expect(members.role(allUp)).to.equal(undefined)
+    expect(members.membersToFollow(allUp)).to.deep.equal([])
     expect(members.count).to.equal(7)
   })
 })
--- a/packages/core/src/core/membership/fleetMembers.ts
+++ b/packages/core/src/core/membership/fleetMembers.ts
@@ -1,20 +1,20 @@
 import murmurhash from 'murmurhash'
-import type { FleetMember } from '../../types/fleetMember.js'
+import type { FleetMember, FleetRole } from '../../types/fleetMember.js'
 
-/** Sources of a small fleet: when one fails, the others need not read the store themselves. */
-const MIN_SOURCES = 2
-/** The fleet has one further source for each group of this many VMs, which bounds the followers per source. */
-const VMS_PER_EXTRA_SOURCE = 24
-/** Each follower subscribes to this many sources, so that the loss of one interrupts nothing. */
-const SOURCES_PER_FOLLOWER = 2
+/** Relays of a small failure domain. */
+const MIN_RELAYS_PER_DOMAIN = 2
+/** A failure domain has one further relay for each group of this many VMs, which bounds the followers per relay. */
+const VMS_PER_EXTRA_RELAY = 24
+/** Relays and followers follow this many VMs, so that the loss of one interrupts nothing. */
+const FOLLOWED_COUNT = 2
 
 /** Whether a VM is considered up. */
 export type LivenessCheck = (vmId: string) => boolean
 
 /**
- * The registered entry VMs. Some of them, the sources, read the store on behalf of the others, which subscribe to them.
- * The sources are chosen by hashed ids, so that VMs that know the same members agree without communication and any VM
- * can assume the role.
+ * The registered entry VMs and their roles. One VM reads the store whatever the size of the fleet; relays keep most of
+ * the traffic within the failure domains. Roles follow from hashed ids, so that VMs that know the same members agree
+ * without communication and any VM can assume each role.
  */
 export class FleetMembers {
   private readonly members = new Map<string, FleetMember>()
@@ -55,24 +55,42 @@
     this.sortedMembers = undefined
   }
 
-  /** Whether this VM reads the store itself, given which members are up. A VM that is not registered yet does. */
-  isSource (isUp: LivenessCheck): boolean {
-    return !this.members.has(this.ownId) || this.sources(isUp).some(({ vmId }) => vmId === this.ownId)
+  /** This VM's role, given which members are up; undefined until this VM is registered. */
+  role (isUp: LivenessCheck): FleetRole | undefined {
+    const own = this.members.get(this.ownId)
+    if (own === undefined) return undefined
+    const up = this.membersUp(isUp)
+    const rank = up.findIndex(({ vmId }) => vmId === this.ownId)
+    if (rank === 0) return 'source'
+    if (rank === 1) return 'standby'
+    return relaysOf(up, own.failureDomain).includes(own) ? 'relay' : 'follower'
   }
 
-  /** The sources that this VM follows; none if it is a source. Hashing spreads the followers over the sources. */
-  sourcesToFollow (isUp: LivenessCheck): readonly FleetMember[] {
-    if (this.isSource(isUp)) return []
-    return sortByHash(this.sources(isUp), ({ vmId }) => `${this.ownId} ${vmId}`).slice(0, SOURCES_PER_FOLLOWER)
+  /** The members that this VM follows; none if it is the source. Hashing spreads the followers over the relays. */
+  membersToFollow (isUp: LivenessCheck): readonly FleetMember[] {
+    const own = this.members.get(this.ownId)
+    if (own === undefined) return []
+    const up = this.membersUp(isUp)
+    switch (this.role(isUp)) {
+      case 'standby': return up.slice(0, 1)
+      case 'relay': return up.slice(0, FOLLOWED_COUNT)
+      case 'follower': return sortByHash(relaysOf(up, own.failureDomain), ({ vmId }) => `${this.ownId} ${vmId}`).slice(0, FOLLOWED_COUNT)
+      default: return []
+    }
   }
 
-  private sources (isUp: LivenessCheck): readonly FleetMember[] {
+  private membersUp (isUp: LivenessCheck): readonly FleetMember[] {
     this.sortedMembers ??= sortByHash([...this.members.values()], ({ vmId }) => vmId)
-    const up = this.sortedMembers.filter(({ vmId }) => vmId === this.ownId || isUp(vmId))
-    return up.slice(0, MIN_SOURCES + Math.floor(this.count / VMS_PER_EXTRA_SOURCE))
+    return this.sortedMembers.filter(({ vmId }) => vmId === this.ownId || isUp(vmId))
   }
 }
 
+/** The relays of a failure domain; the source and the standby can be among them. */
+function relaysOf (up: readonly FleetMember[], failureDomain: string): readonly FleetMember[] {
+  const inDomain = up.filter(member => member.failureDomain === failureDomain)
+  return inDomain.slice(0, MIN_RELAYS_PER_DOMAIN + Math.floor(inDomain.length / VMS_PER_EXTRA_RELAY))
+}
+
 function sortByHash (members: readonly FleetMember[], textOf: (member: FleetMember) => string): FleetMember[] {
   return members
     .map(member => ({ member, hash: murmurhash.v3(textOf(member)) }))
--- a/packages/core/src/types/fleetMember.ts
+++ b/packages/core/src/types/fleetMember.ts
@@ -1,6 +1,13 @@
-/** An entry VM's registration in the fleet. */
+/** An entry VM as registered in the control store. */
 export interface FleetMember {
   readonly vmId: string
-  /** IP address and port where other VMs can subscribe to what this one reads from the store. */
+  /** Address at which other VMs follow this one's reads of the store. */
   readonly feedAddress: string
+  readonly failureDomain: string
 }
+
+/**
+ * How a VM learns of changes in the control store: the source reads the store, the standby follows it and reads the store
+ * as soon as it does not, relays follow both and pass their reads on within a failure domain, followers follow relays.
+ */
+export type FleetRole = 'source' | 'standby' | 'relay' | 'follower'
--- /dev/null
+++ b/packages/daemon/__tests__/changeFeed.test.ts
@@ -0,0 +1,65 @@
+import { expect } from 'chai'
+import { FakeClock } from '@cowsliplead/core/types/clock.js'
+import { ChangeFeed } from '../src/core/feed/changeFeed.js'
+import type { FeedTable, OffsetChanges } from '../src/types/feedTable.js'
+
+const TABLE = 'upstreams'
+const MAX_AGE_MS = 1000
+
+/** A table of which the VM knows the first five changes. */
+function createTable (): FeedTable {
+  return {
+    table: TABLE,
+    offset: 5,
+    needsCopy: false,
+    records: () => [],
+    receiveChanges: (changes: OffsetChanges) => changes,
+    receiveCopy: () => {}
+  }
+}
+
+describe('ChangeFeed', () => {
+  let clock: FakeClock
+  let feed: ChangeFeed
+
+  beforeEach(() => {
+    clock = FakeClock.create(10_000)
+    feed = ChangeFeed.create(clock)
+    feed.register(createTable())
+  })
+
+  // Guards against a fleet whose VMs all read the store in the moment in which its source does not.
+  it('lets the standby read the store before the other VMs do', () => {
+    feed.receivePositions('source', { [TABLE]: { end: 5, ageMs: 0 } })
+    clock.advance(0.9 * MAX_AGE_MS)
+    const coveredRoles = (['source', 'standby', 'relay', 'follower'] as const).filter(role => {
+      feed.setRole(role)
+      return feed.covers(TABLE, 5, MAX_AGE_MS)
+    })
+    expect(coveredRoles).to.deep.equal(['relay', 'follower'])
+  })
+
+  // Guards against VMs that pass a position around and never notice that nobody reads the store any more.
+  it('keeps the time of a read when it passes the position on', () => {
+    feed.setRole('relay')
+    feed.receivePositions('source', { [TABLE]: { end: 5, ageMs: 300 } })
+    clock.advance(400)
+    expect(feed.positions()).to.deep.equal({ [TABLE]: { end: 5, ageMs: 700 } })
+    feed.receivePositions('follower', feed.positions())
+    clock.advance(400)
+    expect(feed.covers(TABLE, 5, MAX_AGE_MS)).to.equal(false)
+  })
+
+  // Guards against followers that believe to have all changes because the VM that they follow lacks some as well.
+  it('does not pass on a position beyond its own copy', () => {
+    feed.setRole('relay')
+    feed.receivePositions('source', { [TABLE]: { end: 6, ageMs: 0 } })
+    expect(feed.positions()).to.deep.equal({})
+    expect(feed.covers(TABLE, 5, MAX_AGE_MS)).to.equal(false)
+  })
+
+  it('has no role before this VM is registered, and reads the store', () => {
+    feed.receivePositions('source', { [TABLE]: { end: 5, ageMs: 0 } })
+    expect(feed.covers(TABLE, 5, MAX_AGE_MS)).to.equal(false)
+  })
+})
--- a/packages/daemon/__tests__/feed.test.ts
+++ b/packages/daemon/__tests__/feed.test.ts
@@ -1,5 +1,8 @@
+import { once } from 'node:events'
 import { expect } from 'chai'
 import winston from 'winston'
+import { WebSocket } from 'ws'
+import type { FleetRole } from '@cowsliplead/core/types/fleetMember.js'
 import type { TableName, TableRecord } from '../src/types/controlStore.js'
 import { TableReader } from '../src/core/control/tableReader.js'
 import { Fleet } from '../src/core/feed/fleet.js'
@@ -63,12 +66,12 @@
   readonly fleet: Fleet
   private readonly components: ReadonlyArray<{ start (fail: (error: Error) => void): Promise<void>, stop (): Promise<void> }>
 
-  constructor (vmId: string, shared: MemoryStore) {
+  constructor (vmId: string, shared: MemoryStore, { startsFromCopy = false } = {}) {
     this.store = new VmStore(shared)
     const { store } = this
     const clock = MonotonicClock.create()
     const logger = winston.createLogger({ silent: true })
-    this.fleet = Fleet.create({ vmId, address: '127.0.0.1:0', store, clock, logger, onSizeChange: () => {} })
+    this.fleet = Fleet.create({ vmId, failureDomain: `domain${Number(vmId.at(-1)) % 2}`, address: '127.0.0.1:0', store, clock, logger, onSizeChange: () => {} })
     const { feed, membership, server } = this.fleet
     const table = FleetTable.create({ store, clock, logger, feed, consumers: { [MEMBERS_GROUP]: membership } })
     const appendRecords = (records: readonly TableRecord[]): void => {
@@ -76,7 +79,7 @@
       this.keys.push(...records.map(({ key }) => key))
     }
     const reader = TableReader.create({
-      store, clock, feed, table: 'upstreams', waitMs: READ_WAIT_MS, pauseMs: 0, maxFeedAgeMs: MAX_FEED_AGE_MS,
+      store, clock, feed, table: 'upstreams', waitMs: READ_WAIT_MS, pauseMs: 0, maxFeedAgeMs: MAX_FEED_AGE_MS, startsFromCopy,
       consumer: { onSnapshot: appendRecords, onChanges: appendRecords, onRecovery: () => void (this.recoveredAt = performance.now()), onFailure: () => {} }
     })
     this.components = [server, table.reader, reader]
@@ -110,40 +113,47 @@
     shared.records('upstreams').push(record('a'))
     vms = Array.from({ length: 8 }, (_, index) => new Vm(`vm${index}`, shared))
     await Promise.all(vms.map(vm => vm.start()))
-    await waitUntil(() => followers().length === 6 && followers().every(vm => vm.follows === 2))
-    // A follower reads the store itself until its sources have sent it the positions of their last reads.
-    await waitUntil(() => followers().every(vm => vm.fleet.feed.covers('upstreams', 1, MAX_FEED_AGE_MS)))
+    await waitUntil(() => readers().length === 2 && others().every(vm => vm.follows === 2))
+    // A VM reads the store itself until those that it follows have sent it the positions of their last reads.
+    await waitUntil(() => others().every(vm => vm.fleet.feed.covers('upstreams', 1, MAX_FEED_AGE_MS)))
     await sleep(100)
   })
 
   afterEach(() => Promise.all(vms.map(vm => vm.stop())))
 
-  function followers (): Vm[] {
-    return vms.filter(vm => vm.follows > 0)
+  function inRole (role: FleetRole): Vm[] {
+    return vms.filter(vm => vm.fleet.snapshot().role === role)
   }
 
-  function sources (): Vm[] {
-    return vms.filter(vm => vm.follows === 0)
+  /** The source and its standby. */
+  function readers (): Vm[] {
+    return [...inRole('source'), ...inRole('standby')]
+  }
+
+  /** Relays and followers. */
+  function others (): Vm[] {
+    return vms.filter(vm => !readers().includes(vm))
   }
 
   // Guards against every VM reading the same changes from the store, which is too costly in large fleets.
-  it('are read by two of eight VMs and relayed to the others', async () => {
-    const before = followers().map(vm => vm.store.reads)
+  it('are read by one of eight VMs and passed on to the others', async () => {
+    const rest = vms.filter(vm => !inRole('source').includes(vm))
+    const before = rest.map(vm => vm.store.reads)
     shared.records('upstreams').push(record('b'), record('c'))
     await waitUntil(() => vms.every(vm => vm.keys.join('') === 'abc'))
     await sleep(200)
     // Guards against sources that poll the store without waiting for changes.
-    for (const { store } of sources()) expect(store.waits.slice(-3)).to.deep.equal([READ_WAIT_MS, READ_WAIT_MS, READ_WAIT_MS])
-    expect(followers().map(vm => vm.store.reads)).to.deep.equal(before)
+    for (const { store } of inRole('source')) expect(store.waits.slice(-3)).to.deep.equal([READ_WAIT_MS, READ_WAIT_MS, READ_WAIT_MS])
+    expect(rest.map(vm => vm.store.reads)).to.deep.equal(before)
   })
 
-  // Guards against a VM that serves with stale state because its sources no longer reach the store.
-  it('are read by the followers once their sources are cut off from the store', async () => {
-    for (const vm of sources()) vm.store.isUnreachable = true
+  // Guards against a VM that serves with stale state because those that it follows no longer reach the store.
+  it('are read by the other VMs once the source and its standby are cut off from the store', async () => {
+    for (const vm of readers()) vm.store.isUnreachable = true
     await sleep(2 * READ_WAIT_MS)
     shared.records('upstreams').push(record('b'))
     const changedAt = performance.now()
-    await waitUntil(() => followers().every(vm => vm.keys.includes('b')))
+    await waitUntil(() => others().every(vm => vm.keys.includes('b')))
     expect(performance.now() - changedAt).to.be.at.most(MAX_FEED_AGE_MS + 200)
   })
 
@@ -163,7 +173,7 @@
   // Guards against one record that ends the processes of all followers at once.
   it('fail the reader, not the process, if they cannot be applied', async () => {
     const failed = new Set<Vm>()
-    for (const vm of followers()) {
+    for (const vm of others()) {
       vm.onFailure = () => void failed.add(vm)
       vm.onRecords = () => {
         throw new Error('test')
@@ -174,21 +184,21 @@
   })
 
   // Guards against copies of a large configuration that saturate the link of a small VM.
-  it('are read by each VM instead of relayed if they are large', async () => {
-    const before = followers().map(vm => vm.store.reads)
+  it('are read by each VM instead of passed on if they are large', async () => {
+    const before = others().map(vm => vm.store.reads)
     shared.records('upstreams').push({ key: 'b', value: Buffer.alloc(200_000) })
     await waitUntil(() => vms.every(vm => vm.keys.includes('b')))
-    for (const [index, vm] of followers().entries()) expect(vm.store.reads).to.be.greaterThan(before[index] as number)
+    for (const [index, vm] of others().entries()) expect(vm.store.reads).to.be.greaterThan(before[index] as number)
   })
 
-  // Guards against a fleet that gets no changes any more after its sources have died.
-  it('are read by other VMs once the sources have stopped', async () => {
-    const ended = sources()
+  // Guards against a fleet that gets no changes any more after its source has died.
+  it('are read by other VMs once the source and its standby have stopped', async () => {
+    const ended = readers()
     await Promise.all(ended.map(vm => vm.stop()))
     const left = vms.filter(vm => !ended.includes(vm))
     shared.records('upstreams').push(record('b'))
     await waitUntil(() => left.every(vm => vm.keys.includes('b')))
-    await waitUntil(() => left.filter(vm => vm.follows === 0).length === 2)
+    await waitUntil(() => left.filter(vm => vm.follows === 0).length === 1)
   })
 
   // Guards against changes that are lost between a follower's snapshot and the first change relayed to it.
@@ -206,6 +216,63 @@
   })
 })
 
+describe('a VM that starts', () => {
+  let shared: MemoryStore
+  let vms: Vm[]
+
+  beforeEach(async () => {
+    shared = MemoryStore.create()
+    shared.records('upstreams').push(record('a'), record('b'), { key: 'a', value: undefined })
+    vms = Array.from({ length: 4 }, (_, index) => new Vm(`vm${index}`, shared, { startsFromCopy: true }))
+    await Promise.all(vms.map(vm => vm.start()))
+    await waitUntil(() => vms.filter(vm => vm.follows === 2).length === 2 && vms.every(vm => vm.keys.length > 0))
+  })
+
+  afterEach(() => Promise.all(vms.map(vm => vm.stop())))
+
+  async function startLate (): Promise<Vm> {
+    const late = new Vm(FOLLOWER, shared, { startsFromCopy: true })
+    vms.push(late)
+    await late.start()
+    await waitUntil(() => late.keys.length > 0)
+    return late
+  }
+
+  // Guards against starts of a large fleet that each read all tables from the store.
+  it('takes the tables from the VMs that it follows', async () => {
+    const late = await startLate()
+    expect(late.store.reads).to.equal(0)
+    expect(late.keys, 'without the removed record').to.deep.equal(['b'])
+    shared.records('upstreams').push(record('c'))
+    await waitUntil(() => late.keys.join('') === 'bc')
+    expect(late.store.reads).to.equal(0)
+  })
+
+  // Guards against an upstream that has left and is used again after a restart, because the other VMs still list it.
+  it('reads the store if the VMs that it follows are cut off from it', async () => {
+    for (const vm of vms) vm.store.isUnreachable = true
+    await sleep(2 * MAX_FEED_AGE_MS)
+    shared.records('upstreams').push({ key: 'b', value: undefined }, record('c'))
+    const late = await startLate()
+    expect(late.keys).to.deep.equal(['c'])
+    expect(late.store.reads).to.be.greaterThan(0)
+  })
+
+  // Guards against one invalid message that ends the process of a VM.
+  it('ends a connection that sends it an invalid request, and serves the others', async () => {
+    const [vm] = vms as [Vm]
+    for (const message of ['{', '{"kind":"copies","tables":["unknown"]}', 'x'.repeat(100_000)]) {
+      const socket = new WebSocket(`ws://${vm.fleet.server.address}`)
+      const closed = once(socket, 'close')
+      socket.on('error', () => {})
+      socket.on('open', () => socket.send(message))
+      await closed
+    }
+    const late = await startLate()
+    expect(late.keys).to.deep.equal(['b'])
+  })
+})
+
 describe('member records', () => {
   // Guards against a VM that stops reading the table because of an invalid record.
   it('are ignored if they are invalid', async () => {
@@ -234,7 +301,7 @@
       await waitUntil(() => shared.records('fleet').length === 1)
       shared.records('fleet').push({ key: 'member/vm0', value: undefined })
       await waitUntil(() => shared.records('fleet').length === 3)
-      expect(shared.records('fleet').at(-1)?.value?.toString()).to.equal(JSON.stringify({ feedAddress: vm.fleet.server.address }))
+      expect(shared.records('fleet').at(-1)?.value?.toString()).to.equal(JSON.stringify({ feedAddress: vm.fleet.server.address, failureDomain: 'domain0' }))
     } finally {
       await vm.stop()
     }
--- a/packages/daemon/src/core/control/controlState.ts
+++ b/packages/daemon/src/core/control/controlState.ts
@@ -21,8 +21,11 @@
 /** Pause between two reads of the upstreams: each read has a cost, and changes arrive in bursts. */
 const UPSTREAMS_PAUSE_MS: Milliseconds = 200
 
-/** Maximum age of a source's last read: its long poll and its pause, plus time for a slow answer of the store. */
-const MAX_FEED_AGE_MS: Milliseconds = 1400
+/**
+ * Maximum age of another VM's last read: its long poll and its pause, plus time for a slow answer of the store and for two
+ * VMs that pass it on.
+ */
+const MAX_FEED_AGE_MS: Milliseconds = 1500
 
 const MIN_TIMER_MS: Milliseconds = 1
 
@@ -58,10 +61,10 @@
     const { store, clock, renewalMs, feed } = options
     this.directory = UpstreamDirectory.create({ renewalMs })
     this.configReader = TableReader.create({
-      store, clock, feed, table: 'configuration', consumer: this.createConfigConsumer(), waitMs: READ_WAIT_MS, pauseMs: 0, maxFeedAgeMs: MAX_FEED_AGE_MS
+      store, clock, feed, table: 'configuration', consumer: this.createConfigConsumer(), waitMs: READ_WAIT_MS, pauseMs: 0, maxFeedAgeMs: MAX_FEED_AGE_MS, startsFromCopy: true
     })
     this.upstreamReader = TableReader.create({
-      store, clock, feed, table: 'upstreams', consumer: this.createUpstreamConsumer(), waitMs: READ_WAIT_MS, pauseMs: UPSTREAMS_PAUSE_MS, maxFeedAgeMs: MAX_FEED_AGE_MS
+      store, clock, feed, table: 'upstreams', consumer: this.createUpstreamConsumer(), waitMs: READ_WAIT_MS, pauseMs: UPSTREAMS_PAUSE_MS, maxFeedAgeMs: MAX_FEED_AGE_MS, startsFromCopy: true
     })
   }
 
--- a/packages/daemon/src/core/control/tableReader.ts
+++ b/packages/daemon/src/core/control/tableReader.ts
@@ -1,15 +1,20 @@
 import type { Clock, Milliseconds } from '@cowsliplead/core/types/clock.js'
 import type { ControlStore, StoreFailure, TableName, TableRecord } from '../../types/controlStore.js'
 import type { Component } from '../../types/component.js'
+import type { FeedTable, OffsetChanges, TableCopy } from '../../types/feedTable.js'
 import { sleep } from '../../utils/sleep.js'
-import type { ChangeFeed, OffsetChanges } from '../feed/changeFeed.js'
-import { readSnapshot } from './tableSnapshot.js'
+import type { ChangeFeed } from '../feed/changeFeed.js'
+import { readSnapshot, type TableSnapshot } from './tableSnapshot.js'
 
 /** Backoff after a failed call; doubles up to the maximum. Even a refused call has a cost. */
 const INITIAL_RETRY_MS = 100
 const MAX_RETRY_MS = 500
-/** Maximum for a follower that is in contact with its sources, which notify it once the store answers them. */
-const MAX_FOLLOWER_RETRY_MS = 1500
+/**
+ * The same for a VM that is in contact with those that it follows: they notify it once the store answers them, and a
+ * whole fleet that retries is a load on a store in trouble.
+ */
+const INITIAL_FOLLOWER_RETRY_MS = 1000
+const MAX_FOLLOWER_RETRY_MS = 4000
 
 /** Receives the content of a table. */
 export interface TableConsumer {
@@ -35,29 +40,35 @@
   readonly pauseMs: Milliseconds
   /** Exchanges reads with other VMs. */
   readonly feed: ChangeFeed
-  /** The store is not read while a source has read the table within this time. */
+  /** The store is not read while another VM has read the table within this time. */
   readonly maxFeedAgeMs: Milliseconds
+  /** Whether a VM that starts may take another one's copy of the table instead of reading it; false by default. */
+  readonly startsFromCopy?: boolean
 }
 
 /**
  * Keeps a consumer up to date with a table: a snapshot first, then changes, and a new snapshot if changes were missed.
- * While sources cover the table, their changes are used and the store is not read. An outage of the store is not a
+ * While the feed covers the table, its changes are used and the store is not read. An outage of the store is not a
  * failure of the reader: it keeps retrying.
  */
-export class TableReader implements Component {
+export class TableReader implements Component, FeedTable {
   readonly name: string
   /** Reads of the store since the start. */
   reads = 0
   private abortController = new AbortController()
   private isFailing = false
   private retryMs = INITIAL_RETRY_MS
-  private offset: number | undefined
+  /** See `FeedTable.offset`. */
+  offset: number | undefined
+  private mayTakeCopy: boolean
+  private readonly newestRecords = new Map<string, Buffer>()
   private lastAnswerAt: Milliseconds | undefined
   private reportFailure: (error: Error) => void = () => {}
 
   private constructor (private readonly options: TableReaderOptions) {
     this.name = `reader of ${options.table}`
-    options.feed.setListener(options.table, changes => this.receiveFromFeed(changes))
+    this.mayTakeCopy = options.startsFromCopy === true
+    options.feed.register(this)
   }
 
   static create (options: TableReaderOptions): TableReader {
@@ -68,7 +79,15 @@
     return this.options.table
   }
 
-  /** Time since the store last answered this VM or one of its sources; infinite before the first answer. */
+  get needsCopy (): boolean {
+    return this.mayTakeCopy && this.offset === undefined
+  }
+
+  records (): readonly TableRecord[] {
+    return [...this.newestRecords].map(([key, value]) => ({ key, value }))
+  }
+
+  /** Time since the store last answered this VM or one that it follows; infinite before the first answer. */
   get ageMs (): Milliseconds {
     const { clock, feed, table } = this.options
     return this.lastAnswerAt === undefined ? Infinity : Math.min(clock.now() - this.lastAnswerAt, feed.ageMs(table))
@@ -89,10 +108,13 @@
   }
 
   private async run (signal: AbortSignal): Promise<void> {
+    if (this.needsCopy) await this.options.feed.waitForCopy(this, signal)
+    // A reader that starts again after a failure, or has missed changes, reads the store.
+    this.mayTakeCopy = false
     while (!signal.aborted) {
       const wasCovered = await this.waitWhileCovered(signal)
       if (signal.aborted) return
-      // The first read after sources covered the table must not wait: this VM and its followers may be behind.
+      // The first read after the feed covered the table must not wait: this VM and its followers may be behind.
       const waitMs = wasCovered ? 0 : this.options.waitMs
       this.reads += 1
       const failure = this.offset === undefined ? await this.readAll(signal) : await this.readChanges(this.offset, waitMs, signal)
@@ -102,24 +124,23 @@
     }
   }
 
-  /** Waits while sources cover the table; returns whether they did. */
+  /** Waits while the feed covers the table; returns whether it did. */
   private async waitWhileCovered (signal: AbortSignal): Promise<boolean> {
     if (this.offset === undefined) return false
     const { feed, table, maxFeedAgeMs } = this.options
-    // An outage ends as soon as a source reads again; otherwise a change long after it would count as its consequence.
+    // An outage ends as soon as any VM reads again; otherwise a change long after it would count as its consequence.
     if (feed.covers(table, this.offset, maxFeedAgeMs)) this.onAnswer()
     return await feed.waitWhileCovered(table, () => this.offset ?? 0, maxFeedAgeMs, signal)
   }
 
   private async readAll (signal: AbortSignal): Promise<StoreFailure | undefined> {
-    const { store, table, consumer, feed } = this.options
+    const { store, table, feed } = this.options
     const snapshot = await readSnapshot(store, table)
     if (signal.aborted) return undefined
     if (snapshot.isErr) return snapshot.error
     this.onAnswer()
-    consumer.onSnapshot(snapshot.value.records)
-    this.offset = snapshot.value.end
-    feed.publish(table, this.offset)
+    this.replace(snapshot.value)
+    feed.publish(table, snapshot.value.end)
     return undefined
   }
 
@@ -137,26 +158,58 @@
     return undefined
   }
 
-  private receiveFromFeed (changes: OffsetChanges): void {
-    // A gap is filled from the store: the source's position is then ahead of this VM's, so the table is not covered.
-    if (this.offset === undefined || changes.from > this.offset) return
-    if (changes.from + changes.records.length <= this.offset) return
-    try {
+  receiveChanges (changes: OffsetChanges): OffsetChanges | undefined {
+    // A gap is filled from the store: the position of the other VM is then ahead of this one's, and nothing is covered.
+    if (this.offset === undefined || changes.from > this.offset) return undefined
+    if (changes.from + changes.records.length <= this.offset) return undefined
+    return this.reportErrors(() => {
       this.onAnswer()
-      this.apply(changes)
+      return this.apply(changes)
+    })
+  }
+
+  receiveCopy (copy: TableCopy): void {
+    // An old copy may contain upstreams that have left since.
+    if (!this.needsCopy || copy.ageMs > this.options.maxFeedAgeMs) return
+    this.reportErrors(() => {
+      this.onAnswer()
+      this.replace(copy)
+    })
+  }
+
+  /** Fails the reader if `action` throws: thrown into the message handler of the connection, the error would end the process. */
+  private reportErrors<Value> (action: () => Value): Value | undefined {
+    try {
+      return action()
     } catch (error) {
-      // Thrown into the message handler of the connection, the error would end the process.
       this.reportFailure(error as Error)
+      return undefined
     }
   }
 
-  /** Applies the changes that are new: another VM may have relayed some of them meanwhile. */
-  private apply ({ from, records }: OffsetChanges): void {
-    if (this.offset === undefined) return
-    const fresh = records.slice(this.offset - from)
-    if (fresh.length === 0) return
-    this.offset += fresh.length
-    this.options.consumer.onChanges(fresh)
+  private replace ({ records, end }: TableSnapshot): void {
+    this.newestRecords.clear()
+    this.keepNewest(records)
+    this.options.consumer.onSnapshot(records)
+    this.offset = end
+  }
+
+  /** Applies the changes that are new, as another VM may have passed some of them on meanwhile, and returns them. */
+  private apply ({ from, records }: OffsetChanges): OffsetChanges | undefined {
+    if (this.offset === undefined) return undefined
+    const fresh = { from: this.offset, records: records.slice(this.offset - from) }
+    if (fresh.records.length === 0) return undefined
+    this.offset += fresh.records.length
+    this.keepNewest(fresh.records)
+    this.options.consumer.onChanges(fresh.records)
+    return fresh
+  }
+
+  private keepNewest (records: readonly TableRecord[]): void {
+    for (const { key, value } of records) {
+      if (value === undefined) this.newestRecords.delete(key)
+      else this.newestRecords.set(key, value)
+    }
   }
 
   private onAnswer (): void {
@@ -171,7 +224,7 @@
     if (!this.isFailing) this.options.consumer.onFailure(failure)
     this.isFailing = true
     const { feed, table, maxFeedAgeMs } = this.options
-    const pauseMs = this.retryMs
+    const pauseMs = feed.isFollowing ? Math.max(this.retryMs, INITIAL_FOLLOWER_RETRY_MS) : this.retryMs
     this.retryMs = Math.min(pauseMs * 2, feed.isFollowing ? MAX_FOLLOWER_RETRY_MS : MAX_RETRY_MS)
     if (this.offset === undefined) await sleep(pauseMs, signal)
     else await feed.waitUntilCovered(table, () => this.offset ?? 0, maxFeedAgeMs, pauseMs, signal)
--- a/packages/daemon/src/core/feed/changeFeed.ts
+++ b/packages/daemon/src/core/feed/changeFeed.ts
@@ -1,21 +1,8 @@
 import type { Clock, Milliseconds } from '@cowsliplead/core/types/clock.js'
-import type { TableName, TableRecord } from '../../types/controlStore.js'
+import type { FleetRole } from '@cowsliplead/core/types/fleetMember.js'
+import type { TableName } from '../../types/controlStore.js'
 import type { FeedPosition } from '../../types/feedMessage.js'
-
-/** Consecutive changes of a table, the first of them at offset `from`. */
-export interface OffsetChanges {
-  readonly from: number
-  readonly records: readonly TableRecord[]
-}
-
-/** Receives changes that another VM has read. */
-export type ChangeListener = (changes: OffsetChanges) => void
-
-/** Relays what this VM reads from the store. */
-export interface FeedPublisher {
-  onChanges (table: TableName, changes: OffsetChanges): void
-  onPosition (): void
-}
+import type { FeedPublisher, FeedTable, OffsetChanges, TableCopy } from '../../types/feedTable.js'
 
 /** How far a table was read, by this VM or another one. */
 interface Position {
@@ -24,19 +11,30 @@
   readonly readAt: Milliseconds
 }
 
+/** The standby reads the store at this share of the age at which other VMs do, so that one VM does it for all. */
+const STANDBY_AGE_SHARE = 0.8
+
+/** Longest wait for another VM's copy of a table after this VM has learned its role. */
+const COPY_WAIT_MS: Milliseconds = 500
+
+/** Longest wait for this VM's role: the first pause and read of the member records, and a slow answer of the store. */
+const ROLE_WAIT_MS: Milliseconds = 1000
+
 /**
- * Exchanges reads of the store with other VMs: receives those of the sources, the VMs that this one follows, and
- * publishes this VM's own to its followers. A table is covered while a source has read it recently and this VM has all
- * changes up to that position: it need not be read from the store then.
+ * Exchanges reads of the store with other VMs: receives those of the VMs that this one follows, and passes them on, with
+ * its own, to its followers. A table is covered while it was read recently and this VM has all changes up to that
+ * position: it need not be read from the store then. A position keeps the time of its read on its way, so that VMs that
+ * follow one another cannot make it look newer.
  */
 export class ChangeFeed {
-  /** Whether other VMs rely on what this one reads, so that it has to read the store itself. */
-  private isSource = true
+  /** Undefined until this VM is registered as a member. */
+  private role: FleetRole | undefined
   private publisher: FeedPublisher | undefined
-  private readonly ownPositionsByTable = new Map<TableName, Position>()
-  /** Positions of the sources by VM id. */
-  private readonly positionsBySource = new Map<string, Map<TableName, Position>>()
-  private readonly listeners = new Map<TableName, ChangeListener>()
+  private readonly ownPositions = new Map<TableName, Position>()
+  /** Positions by id of the followed VM. */
+  private readonly followedPositions = new Map<string, Map<TableName, Position>>()
+  private readonly tables = new Map<TableName, FeedTable>()
+  private readonly declined = new Set<TableName>()
   private readonly waiters = new Set<() => void>()
 
   private constructor (private readonly clock: Clock) {}
@@ -45,71 +43,114 @@
     return new ChangeFeed(clock)
   }
 
-  /** Sets the publisher that relays this VM's reads to its followers. */
+  /** Sets the publisher that passes reads on to this VM's followers. */
   setPublisher (publisher: FeedPublisher): void {
     this.publisher = publisher
   }
 
-  /** Sets whether this VM has to read the store itself. */
-  setSource (isSource: boolean): void {
-    if (this.isSource === isSource) return
-    this.isSource = isSource
+  /** Sets this VM's role. A source reads the store itself. */
+  setRole (role: FleetRole | undefined): void {
+    if (this.role === role) return
+    this.role = role
     this.notify()
   }
 
-  /** Sets the listener for changes of a table that other VMs have read. */
-  setListener (table: TableName, listener: ChangeListener): void {
-    this.listeners.set(table, listener)
+  /** Adds a table that is exchanged. */
+  register (table: FeedTable): void {
+    this.tables.set(table.table, table)
+  }
+
+  /** The tables that this VM may take from another one's copy. */
+  neededCopies (): TableName[] {
+    return [...this.tables.values()].filter(({ needsCopy }) => needsCopy).map(({ table }) => table)
   }
 
   /** Publishes that this VM has read a table up to `end`, with the changes that were new. */
   publish (table: TableName, end: number, changes?: OffsetChanges): void {
-    this.ownPositionsByTable.set(table, { end, readAt: this.clock.now() })
+    this.ownPositions.set(table, { end, readAt: this.clock.now() })
     if (changes !== undefined && changes.records.length > 0) this.publisher?.onChanges(table, changes)
     this.publisher?.onPosition()
   }
 
-  /** How far this VM has read the tables itself. */
-  ownPositions (): Partial<Record<TableName, FeedPosition>> {
-    const now = this.clock.now()
-    const entries = [...this.ownPositionsByTable].map(([table, { end, readAt }]) => [table, { end, ageMs: Math.max(0, Math.round(now - readAt)) }])
-    return Object.fromEntries(entries) as Partial<Record<TableName, FeedPosition>>
+  /** For each table, the newest position up to which this VM has all changes. */
+  positions (): Partial<Record<TableName, FeedPosition>> {
+    const positions: Partial<Record<TableName, FeedPosition>> = {}
+    for (const table of this.tables.keys()) {
+      const newest = this.newestPosition(table)
+      if (newest !== undefined) positions[table] = { end: newest.end, ageMs: this.ageOfRead(newest) }
+    }
+    return positions
   }
 
-  /** Called with changes that a source has relayed. */
+  /** This VM's copy of a table; undefined while it has none. */
+  copyOf (table: TableName): TableCopy | undefined {
+    const known = this.tables.get(table)
+    const newest = this.newestPosition(table)
+    if (known?.offset === undefined || newest === undefined) return undefined
+    return { records: known.records(), end: known.offset, ageMs: this.ageOfRead(newest) }
+  }
+
+  /** Called with changes that a followed VM has passed on. */
   receiveChanges (table: TableName, changes: OffsetChanges): void {
-    this.listeners.get(table)?.(changes)
+    const fresh = this.tables.get(table)?.receiveChanges(changes)
+    if (fresh !== undefined) this.publisher?.onChanges(table, fresh)
   }
 
-  /** Called with the positions up to which a source has read. */
+  /** Called with the copy of a table that a followed VM has sent. */
+  receiveCopy (table: TableName, copy: TableCopy): void {
+    this.tables.get(table)?.receiveCopy(copy)
+    this.notify()
+    this.publisher?.onPosition()
+  }
+
+  /** Called when a followed VM does not send a copy. */
+  receiveDecline (table: TableName): void {
+    this.declined.add(table)
+    this.notify()
+  }
+
+  /** Called with the positions that a followed VM knows of. */
   receivePositions (vmId: string, positions: Partial<Record<TableName, FeedPosition>>): void {
     const now = this.clock.now()
-    const sourcePositions = this.positionsBySource.get(vmId) ?? new Map<TableName, Position>()
+    const known = this.followedPositions.get(vmId) ?? new Map<TableName, Position>()
     for (const [table, { end, ageMs }] of Object.entries(positions) as Array<[TableName, FeedPosition]>) {
-      sourcePositions.set(table, { end, readAt: now - ageMs })
+      known.set(table, { end, readAt: now - ageMs })
     }
-    this.positionsBySource.set(vmId, sourcePositions)
+    this.followedPositions.set(vmId, known)
     this.notify()
+    this.publisher?.onPosition()
   }
 
   /** Called when a VM is no longer followed. */
-  removeSource (vmId: string): void {
-    if (this.positionsBySource.delete(vmId)) this.notify()
+  removeFollowed (vmId: string): void {
+    if (this.followedPositions.delete(vmId)) this.notify()
   }
 
-  /** Time since a source last read the table; infinite if none did. */
+  /** Time since the table was last read, as far as the followed VMs know; infinite if they know of no read. */
   ageMs (table: TableName): Milliseconds {
     return this.clock.now() - Math.max(...this.positionsOf(table).map(({ readAt }) => readAt), -Infinity)
   }
 
-  /** Time since the given source last read the table; infinite if it never did. */
+  /** Time since the table was last read, as far as the given VM knows; infinite if it knows of no read. */
   ageOf (vmId: string, table: TableName): Milliseconds {
-    return this.clock.now() - (this.positionsBySource.get(vmId)?.get(table)?.readAt ?? -Infinity)
+    return this.clock.now() - (this.followedPositions.get(vmId)?.get(table)?.readAt ?? -Infinity)
   }
 
   /** Time since this VM last read the table itself; infinite if it never did. */
   ownAgeMs (table: TableName): Milliseconds {
-    return this.clock.now() - (this.ownPositionsByTable.get(table)?.readAt ?? -Infinity)
+    return this.clock.now() - (this.ownPositions.get(table)?.readAt ?? -Infinity)
+  }
+
+  /** Waits until another VM's copy of the table has arrived, or none is to be expected. */
+  async waitForCopy (table: FeedTable, signal: AbortSignal): Promise<void> {
+    const startedAt = this.clock.now()
+    while (this.role === undefined && this.clock.now() < startedAt + ROLE_WAIT_MS && !signal.aborted) {
+      await this.waitForChange(startedAt + ROLE_WAIT_MS - this.clock.now(), signal)
+    }
+    const until = this.clock.now() + COPY_WAIT_MS
+    while (this.mayReceiveCopy(table) && this.clock.now() < until && !signal.aborted) {
+      await this.waitForChange(until - this.clock.now(), signal)
+    }
   }
 
   /**
@@ -120,7 +161,7 @@
     let wasCovered = false
     while (!signal.aborted && this.covers(table, offset(), maxAgeMs)) {
       wasCovered = true
-      await this.waitForChange(maxAgeMs - this.ageMs(table), signal)
+      await this.waitForChange(this.ageLimitMs(maxAgeMs) - this.ageMs(table), signal)
     }
     return wasCovered
   }
@@ -133,20 +174,44 @@
     }
   }
 
-  /** Whether this VM relies on sources and is in contact with at least one. */
+  /** Whether this VM relies on others and is in contact with at least one. */
   get isFollowing (): boolean {
-    return !this.isSource && this.positionsBySource.size > 0
+    return this.isDependent && this.followedPositions.size > 0
   }
 
-  /** Whether sources have read the table within `maxAgeMs`, and none of those beyond `offset`. */
+  /** Whether the table was read within `maxAgeMs`, and no read went beyond `offset`. */
   covers (table: TableName, offset: number, maxAgeMs: Milliseconds): boolean {
-    if (this.isSource) return false
-    const fresh = this.positionsOf(table).filter(({ readAt }) => this.clock.now() - readAt <= maxAgeMs)
+    if (!this.isDependent) return false
+    const fresh = this.positionsOf(table).filter(({ readAt }) => this.clock.now() - readAt <= this.ageLimitMs(maxAgeMs))
     return fresh.length > 0 && fresh.every(({ end }) => end <= offset)
   }
 
+  private get isDependent (): boolean {
+    return this.role !== undefined && this.role !== 'source'
+  }
+
+  private ageLimitMs (maxAgeMs: Milliseconds): Milliseconds {
+    return this.role === 'standby' ? maxAgeMs * STANDBY_AGE_SHARE : maxAgeMs
+  }
+
+  private mayReceiveCopy (table: FeedTable): boolean {
+    return this.isDependent && table.offset === undefined && !this.declined.has(table.table)
+  }
+
+  private newestPosition (table: TableName): Position | undefined {
+    const offset = this.tables.get(table)?.offset
+    if (offset === undefined) return undefined
+    const own = this.ownPositions.get(table)
+    const reached = [...this.positionsOf(table), ...own === undefined ? [] : [own]].filter(({ end }) => end <= offset)
+    return reached.reduce<Position | undefined>((newest, each) => newest === undefined || each.readAt > newest.readAt ? each : newest, undefined)
+  }
+
   private positionsOf (table: TableName): Position[] {
-    return [...this.positionsBySource.values()].flatMap(positions => positions.get(table) ?? [])
+    return [...this.followedPositions.values()].flatMap(positions => positions.get(table) ?? [])
+  }
+
+  private ageOfRead ({ readAt }: Position): Milliseconds {
+    return Math.max(0, Math.round(this.clock.now() - readAt))
   }
 
   private waitForChange (withinMs: Milliseconds, signal: AbortSignal): Promise<void> {
--- a/packages/daemon/src/core/feed/feedConnection.ts
+++ b/packages/daemon/src/core/feed/feedConnection.ts
@@ -2,7 +2,8 @@
 import type { FleetMember } from '@cowsliplead/core/types/fleetMember.js'
 import type { Milliseconds } from '@cowsliplead/core/types/clock.js'
 import { parseJson } from '@cowsliplead/core/utils/parseJson.js'
-import { FEED_MESSAGE, type FeedMessage } from '../../types/feedMessage.js'
+import type { TableName } from '../../types/controlStore.js'
+import { FEED_MESSAGE, type FeedMessage, type FeedRequest } from '../../types/feedMessage.js'
 import { HEARTBEAT_MS } from './feedServer.js'
 
 const CONNECT_TIMEOUT_MS: Milliseconds = 500
@@ -10,24 +11,32 @@
 /** A VM that sends nothing for this long is considered down. */
 const SILENCE_TIMEOUT_MS: Milliseconds = 3 * HEARTBEAT_MS
 
+/** A longer message ends the connection; no message of a VM of this version is longer. */
+const MAX_MESSAGE_BYTES = 4 * 1024 * 1024
+
 /** Why a connection ended: closed by the peer or failed, no message in time, or an invalid message. */
 export type DisconnectReason = 'closed' | 'silent' | 'invalid'
 
 /** Receives the events of a connection. */
 export interface FeedConnectionObserver {
-  onMessage (source: FleetMember, message: FeedMessage): void
+  /** The tables of which this VM needs a copy. */
+  neededCopies (): TableName[]
+  onMessage (followed: FleetMember, message: FeedMessage): void
   /** Called at most once, and not after `close`. */
-  onDisconnect (source: FleetMember, reason: DisconnectReason): void
+  onDisconnect (followed: FleetMember, reason: DisconnectReason): void
 }
 
-/** Connection to one source, a VM that this one follows. */
+/** Connection to a VM that this one follows. */
 export class FeedConnection {
   private readonly socket: WebSocket
   private timer: NodeJS.Timeout | undefined
   private isClosed = false
 
-  private constructor (readonly source: FleetMember, private readonly observer: FeedConnectionObserver) {
-    this.socket = new WebSocket(`ws://${source.feedAddress}`, { handshakeTimeout: CONNECT_TIMEOUT_MS, perMessageDeflate: false })
+  private constructor (readonly followed: FleetMember, private readonly observer: FeedConnectionObserver) {
+    this.socket = new WebSocket(`ws://${followed.feedAddress}`, {
+      handshakeTimeout: CONNECT_TIMEOUT_MS, perMessageDeflate: false, maxPayload: MAX_MESSAGE_BYTES
+    })
+    this.socket.on('open', () => this.requestCopies())
     this.socket.on('message', data => this.onMessage(data))
     this.socket.on('error', () => this.handleDisconnect('closed'))
     this.socket.on('close', () => this.handleDisconnect('closed'))
@@ -35,8 +44,8 @@
   }
 
   /** Starts connecting immediately. */
-  static create (source: FleetMember, observer: FeedConnectionObserver): FeedConnection {
-    return new FeedConnection(source, observer)
+  static create (followed: FleetMember, observer: FeedConnectionObserver): FeedConnection {
+    return new FeedConnection(followed, observer)
   }
 
   /** Closes the connection without notifying the observer. */
@@ -46,12 +55,19 @@
     this.socket.terminate()
   }
 
+  private requestCopies (): void {
+    const tables = this.observer.neededCopies()
+    if (tables.length === 0) return
+    const request: FeedRequest = { kind: 'copies', tables }
+    this.socket.send(JSON.stringify(request))
+  }
+
   private onMessage (data: RawData): void {
     if (this.isClosed) return
     this.restartSilenceTimer()
     const message = FEED_MESSAGE.safeParse(parseJson(String(data))).data
     if (message === undefined) this.handleDisconnect('invalid')
-    else this.observer.onMessage(this.source, message)
+    else this.observer.onMessage(this.followed, message)
   }
 
   private restartSilenceTimer (): void {
@@ -62,6 +78,6 @@
   private handleDisconnect (reason: DisconnectReason): void {
     if (this.isClosed) return
     this.close()
-    this.observer.onDisconnect(this.source, reason)
+    this.observer.onDisconnect(this.followed, reason)
   }
 }
--- a/packages/daemon/src/core/feed/feedServer.ts
+++ b/packages/daemon/src/core/feed/feedServer.ts
@@ -1,37 +1,49 @@
-import { WebSocketServer, type WebSocket } from 'ws'
-import type { Milliseconds } from '@cowsliplead/core/types/clock.js'
+import { WebSocketServer, type RawData, type WebSocket } from 'ws'
+import type { Clock, Milliseconds } from '@cowsliplead/core/types/clock.js'
+import { parseJson } from '@cowsliplead/core/utils/parseJson.js'
 import type { Component } from '../../types/component.js'
 import type { TableName } from '../../types/controlStore.js'
-import type { FeedMessage } from '../../types/feedMessage.js'
+import { FEED_REQUEST, type FeedMessage } from '../../types/feedMessage.js'
+import type { FeedPublisher, OffsetChanges } from '../../types/feedTable.js'
 import { splitAddress } from '../../utils/address.js'
-import type { ChangeFeed, FeedPublisher, OffsetChanges } from './changeFeed.js'
+import type { ChangeFeed } from './changeFeed.js'
+import { bytesOf, encodeFeedRecords } from './feedRecords.js'
 
 /** Interval of position messages. Followers consider a VM down after three intervals without a message. */
 export const HEARTBEAT_MS: Milliseconds = 400
 
+/** Shortest time between two position messages: a relay hears of each read from several VMs. */
+const POSITION_INTERVAL_MS: Milliseconds = 100
+
 /** A follower with a larger send backlog is disconnected; it then reads the store itself. */
 const MAX_BACKLOG_BYTES = 1_000_000
 
 /**
- * Changes that add up to more than this over all followers are not relayed, as they would saturate the link of a small
- * VM; the followers read them from the store.
+ * Changes and copies that add up to more than this over all followers are not sent, as they would saturate the link of a
+ * small VM; the followers read them from the store.
  */
-const MAX_BROADCAST_BYTES = 256 * 1024
+const MAX_SENT_BYTES = 256 * 1024
+
+/** Requests of followers are short; a longer message ends the connection. */
+const MAX_REQUEST_BYTES = 1024
 
 /** Options of the feed server. */
 export interface FeedServerOptions {
   /** IP address and port to listen on. */
   readonly address: string
   readonly feed: ChangeFeed
-  /** Called when the number of followers has changed. */
-  readonly onFollowersChange: () => void
+  readonly clock: Clock
 }
 
-/** Relays what this VM reads from the store to its followers. */
+/** Passes on what this VM knows of the store to its followers. */
 export class FeedServer implements Component, FeedPublisher {
   readonly name = 'feed server'
   private server: WebSocketServer | undefined
   private heartbeat: NodeJS.Timeout | undefined
+  private positionTimer: NodeJS.Timeout | undefined
+  private positionsSentAt: Milliseconds = -Infinity
+  /** Followers that wait for a copy of a table which this VM does not know yet. */
+  private readonly requests = new Map<WebSocket, Set<TableName>>()
 
   private constructor (private readonly options: FeedServerOptions) {}
 
@@ -52,7 +64,7 @@
   }
 
   async start (onFailure: (error: Error) => void): Promise<void> {
-    const server = new WebSocketServer({ ...splitAddress(this.options.address), perMessageDeflate: false })
+    const server = new WebSocketServer({ ...splitAddress(this.options.address), perMessageDeflate: false, maxPayload: MAX_REQUEST_BYTES })
     this.server = server
     await new Promise<void>((resolve, reject) => {
       server.once('error', reject)
@@ -68,31 +80,70 @@
 
   async stop (): Promise<void> {
     clearInterval(this.heartbeat)
+    clearTimeout(this.positionTimer)
+    this.positionTimer = undefined
     for (const socket of this.server?.clients ?? []) socket.terminate()
     this.server?.close()
   }
 
   onChanges (table: TableName, { from, records }: OffsetChanges): void {
-    const bytes = records.reduce((sum, { value }) => sum + (value?.length ?? 0), 0)
-    if (bytes * this.followers > MAX_BROADCAST_BYTES) return
-    const encoded = records.map(({ key, value }) => ({ key, value: value?.toString('base64') }))
-    this.broadcast({ kind: 'changes', table, from, records: encoded })
+    if (bytesOf(records) * this.followers > MAX_SENT_BYTES) return
+    this.broadcast({ kind: 'changes', table, from, records: encodeFeedRecords(records) })
   }
 
   onPosition (): void {
+    for (const socket of this.requests.keys()) this.answerRequests(socket)
+    const delayMs = this.positionsSentAt + POSITION_INTERVAL_MS - this.options.clock.now()
+    if (delayMs <= 0) this.sendPositions()
+    else this.positionTimer ??= setTimeout(() => this.sendPositions(), delayMs)
+  }
+
+  private sendPositions (): void {
+    clearTimeout(this.positionTimer)
+    this.positionTimer = undefined
+    this.positionsSentAt = this.options.clock.now()
     this.broadcast(this.positions())
   }
 
   private accept (socket: WebSocket): void {
-    const { onFollowersChange } = this.options
     socket.on('error', () => socket.terminate())
-    socket.on('close', onFollowersChange)
-    socket.send(JSON.stringify(this.positions()))
-    onFollowersChange()
+    socket.on('close', () => this.requests.delete(socket))
+    socket.on('message', data => this.onMessage(socket, data))
+    send(socket, this.positions())
+  }
+
+  private onMessage (socket: WebSocket, data: RawData): void {
+    const request = FEED_REQUEST.safeParse(parseJson(String(data))).data
+    if (request === undefined) return socket.terminate()
+    this.requests.set(socket, new Set(request.tables))
+    this.answerRequests(socket)
+  }
+
+  /** Sends the requested copies that this VM has; the others follow once it knows the tables. */
+  private answerRequests (socket: WebSocket): void {
+    const tables = this.requests.get(socket) ?? new Set()
+    for (const table of tables) {
+      const answer = this.answerFor(table)
+      if (answer === undefined) continue
+      tables.delete(table)
+      send(socket, answer)
+    }
+    if (tables.size === 0) this.requests.delete(socket)
+  }
+
+  private answerFor (table: TableName): FeedMessage | undefined {
+    const copy = this.options.feed.copyOf(table)
+    if (copy === undefined) return undefined
+    if (this.backlogBytes() + bytesOf(copy.records) > MAX_SENT_BYTES) return { kind: 'declined', table }
+    return { kind: 'copy', table, position: { end: copy.end, ageMs: copy.ageMs }, records: encodeFeedRecords(copy.records) }
+  }
+
+  private backlogBytes (): number {
+    return [...this.server?.clients ?? []].reduce((sum, { bufferedAmount }) => sum + bufferedAmount, 0)
   }
 
   private positions (): FeedMessage {
-    return { kind: 'positions', tables: this.options.feed.ownPositions() }
+    return { kind: 'positions', tables: this.options.feed.positions() }
   }
 
   private broadcast (message: FeedMessage): void {
@@ -104,3 +155,7 @@
     }
   }
 }
+
+function send (socket: WebSocket, message: FeedMessage): void {
+  socket.send(JSON.stringify(message))
+}
--- a/packages/daemon/src/core/feed/fleet.ts
+++ b/packages/daemon/src/core/feed/fleet.ts
@@ -1,5 +1,6 @@
 import { FleetMembers } from '@cowsliplead/core/core/membership/fleetMembers.js'
 import type { Clock } from '@cowsliplead/core/types/clock.js'
+import type { FleetRole } from '@cowsliplead/core/types/fleetMember.js'
 import type { ControlStore } from '../../types/controlStore.js'
 import type { Logger } from '../operators/logger.js'
 import { ChangeFeed } from './changeFeed.js'
@@ -10,6 +11,7 @@
 /** Options of the fleet. */
 export interface FleetOptions {
   readonly vmId: string
+  readonly failureDomain: string
   /** IP address and port that the other VMs connect to. */
   readonly address: string
   readonly store: ControlStore
@@ -23,12 +25,14 @@
 export interface FleetSnapshot {
   /** Known entry VMs, this one included. */
   readonly vms: number
+  /** Undefined until this VM is registered. */
+  readonly role: FleetRole | undefined
   /** Ids of the VMs that this one follows. */
   readonly follows: readonly string[]
   readonly followers: number
 }
 
-/** This VM's view of the fleet of entry VMs: the members, the sources of this VM and its followers. */
+/** This VM's view of the fleet of entry VMs: the members, the VMs that it follows and its followers. */
 export class Fleet {
   readonly feed: ChangeFeed
   readonly server: FeedServer
@@ -36,33 +40,31 @@
   readonly members: FleetMembers
   private readonly follower: FeedFollower
 
-  private constructor ({ vmId, address, store, clock, logger, onSizeChange }: FleetOptions) {
+  private constructor ({ vmId, failureDomain, address, store, clock, logger, onSizeChange }: FleetOptions) {
     const members = FleetMembers.create(vmId)
     const feed = ChangeFeed.create(clock)
     this.members = members
     this.feed = feed
-    this.server = FeedServer.create({ address, feed, onFollowersChange: () => this.follower.reconcile() })
+    this.server = FeedServer.create({ address, feed, clock })
     feed.setPublisher(this.server)
     this.membership = Membership.create({
       store,
       members,
       logger,
-      ownMember: () => ({ vmId, feedAddress: this.server.address }),
+      ownMember: () => ({ vmId, feedAddress: this.server.address, failureDomain }),
       onChange: () => {
         onSizeChange(members.count)
         this.follower.reconcile()
       }
     })
-    this.follower = FeedFollower.create({
-      members, feed, clock, logger, followers: () => this.server.followers, onUnreachable: id => this.membership.remove(id)
-    })
+    this.follower = FeedFollower.create({ members, feed, clock, logger, onUnreachable: id => this.membership.remove(id) })
   }
 
   static create (options: FleetOptions): Fleet {
     return new Fleet(options)
   }
 
-  /** Starts the regular check of this VM's sources. */
+  /** Starts the regular check of the VMs that this one follows. */
   start (): void {
     this.follower.start()
   }
@@ -74,6 +76,6 @@
 
   /** The state for the dump and metrics. */
   snapshot (): FleetSnapshot {
-    return { vms: this.members.count, follows: this.follower.sources, followers: this.server.followers }
+    return { vms: this.members.count, role: this.follower.role, follows: this.follower.followed, followers: this.server.followers }
   }
 }
--- a/packages/daemon/src/core/feed/membership.ts
+++ b/packages/daemon/src/core/feed/membership.ts
@@ -12,7 +12,12 @@
 
 const RETRY_MS: Milliseconds = 2000
 
-const RECORD = z.object({ feedAddress: z.string().refine(address => URL.canParse(`ws://${address}`)) })
+const RECORD = z.object({
+  feedAddress: z.string().refine(address => URL.canParse(`ws://${address}`)),
+  failureDomain: z.string().default('')
+})
+
+type MemberRecord = z.infer<typeof RECORD>
 
 /** Options of membership. */
 export interface MembershipOptions {
@@ -75,16 +80,16 @@
     if (value === undefined) return members.remove(vmId)
     const record = RECORD.safeParse(parseJson(value.toString('utf8'))).data
     if (record === undefined) return void logger.warn('member record cannot be read', { key })
-    members.put({ vmId, feedAddress: record.feedAddress })
+    members.put({ vmId, ...record })
   }
 
   /** Writes this VM's record; retries until the table contains it. */
   private async announce (): Promise<void> {
     if (this.timer !== undefined || this.isClosed) return
     const { store, ownMember, logger } = this.options
-    const { vmId, feedAddress } = ownMember()
+    const { vmId, ...record } = ownMember()
     this.timer = setTimeout(() => this.retryAnnouncement(), RETRY_MS)
-    const result = await store.put('fleet', [{ key: keyOf(vmId), value: Buffer.from(JSON.stringify({ feedAddress })) }])
+    const result = await store.put('fleet', [{ key: keyOf(vmId), value: encodeRecord(record) }])
     if (result.isErr) logger.warn('announcement of this VM failed', { failure: result.error })
   }
 
@@ -93,14 +98,19 @@
     if (!this.isAnnounced()) void this.announce()
   }
 
-  /** Whether the table contains this VM with its current address. */
+  /** Whether the table contains this VM as it is now. */
   private isAnnounced (): boolean {
     const { members, ownMember } = this.options
-    const { vmId, feedAddress } = ownMember()
-    return members.get(vmId)?.feedAddress === feedAddress
+    const { vmId, feedAddress, failureDomain } = ownMember()
+    const known = members.get(vmId)
+    return known?.feedAddress === feedAddress && known.failureDomain === failureDomain
   }
 }
 
+function encodeRecord (record: MemberRecord): Buffer {
+  return Buffer.from(JSON.stringify(record))
+}
+
 function keyOf (vmId: string): string {
   return `${MEMBERS_GROUP}/${vmId}`
 }
--- a/packages/daemon/src/core/gateway/gateway.ts
+++ b/packages/daemon/src/core/gateway/gateway.ts
@@ -94,6 +94,7 @@
     this.services = this.createServices(metrics)
     this.fleet = Fleet.create({
       vmId: settings.vmId,
+      failureDomain: settings.failureDomain,
       address: settings.feedAddress,
       store,
       clock,
--- a/packages/daemon/src/types/feedMessage.ts
+++ b/packages/daemon/src/types/feedMessage.ts
@@ -9,7 +9,10 @@
   ageMs: z.number().nonnegative()
 })
 
-/** Message of a VM that reads the store to its followers. */
+/** Values are in base64; a key without a value is removed. */
+const RECORDS = z.array(z.object({ key: z.string(), value: z.string().optional() }))
+
+/** Message of a VM to its followers. */
 export const FEED_MESSAGE = z.discriminatedUnion('kind', [
   /** Consecutive changes of one table. */
   z.object({
@@ -17,15 +20,27 @@
     table: TABLE,
     /** Offset of the first change. */
     from: z.number().int().nonnegative(),
-    /** Values are in base64; a key without a value is removed. */
-    records: z.array(z.object({ key: z.string(), value: z.string().optional() }))
+    records: RECORDS
   }),
   /** How far each table was read. Sent after each read and as a heartbeat. */
-  z.object({ kind: z.literal('positions'), tables: z.partialRecord(TABLE, POSITION) })
+  z.object({ kind: z.literal('positions'), tables: z.partialRecord(TABLE, POSITION) }),
+  /** Copy of a table that was complete up to a position; answers a request. */
+  z.object({ kind: z.literal('copy'), table: TABLE, position: POSITION, records: RECORDS }),
+  /** The requested copy is not sent: the follower has to read the table from the store. */
+  z.object({ kind: z.literal('declined'), table: TABLE })
 ])
 
-/** Message of a VM that reads the store to its followers. */
+/** Message of a VM to its followers. */
 export type FeedMessage = z.infer<typeof FEED_MESSAGE>
 
+/** Message of a follower to a VM that it follows: the tables of which it needs a copy. */
+export const FEED_REQUEST = z.object({ kind: z.literal('copies'), tables: z.array(TABLE).max(TABLE.options.length) })
+
+/** Message of a follower to a VM that it follows. */
+export type FeedRequest = z.infer<typeof FEED_REQUEST>
+
 /** How far a table was read, and how long ago. */
 export type FeedPosition = z.infer<typeof POSITION>
+
+/** Records as they are sent. */
+export type FeedRecords = z.infer<typeof RECORDS>
--- /dev/null
+++ b/packages/daemon/src/types/feedTable.ts
@@ -0,0 +1,36 @@
+import type { Milliseconds } from '@cowsliplead/core/types/clock.js'
+import type { TableName, TableRecord } from './controlStore.js'
+
+/** Consecutive changes of a table, the first of them at offset `from`. */
+export interface OffsetChanges {
+  readonly from: number
+  readonly records: readonly TableRecord[]
+}
+
+/** All records of a table up to an offset, and the time since the store was known to hold nothing newer. */
+export interface TableCopy {
+  readonly records: readonly TableRecord[]
+  readonly end: number
+  readonly ageMs: Milliseconds
+}
+
+/** A VM's copy of a table, as the feed uses it. */
+export interface FeedTable {
+  readonly table: TableName
+  /** Position up to which the copy is complete; undefined while there is none. */
+  readonly offset: number | undefined
+  /** Whether the copy may be taken from another VM. */
+  readonly needsCopy: boolean
+  records (): readonly TableRecord[]
+  /** Applies changes that another VM has read; returns those that were new. */
+  receiveChanges (changes: OffsetChanges): OffsetChanges | undefined
+  /** Takes another VM's copy unless it is too old. */
+  receiveCopy (copy: TableCopy): void
+}
+
+/** Passes on to this VM's followers what it knows of the store. */
+export interface FeedPublisher {
+  onChanges (table: TableName, changes: OffsetChanges): void
+  /** A position has advanced, or a table has become known. */
+  onPosition (): void
+}
