--- a/packages/daemon/__tests__/changeFeed.test.ts
+++ b/packages/daemon/__tests__/changeFeed.test.ts
@@ -58,6 +58,14 @@
     expect(feed.covers(TABLE, 5, MAX_AGE_MS)).to.equal(false)
   })
 
+  // Guards against a fleet that misses a configuration because its new source still waits to retry a failed read.
+  it('ends the pause after a failed read once the VM becomes the source', async () => {
+    feed.setRole('relay')
+    const paused = feed.waitUntilCovered(TABLE, () => 5, MAX_AGE_MS, 60_000, new AbortController().signal)
+    feed.setRole('source')
+    await paused
+  })
+
   it('has no role before this VM is registered, and reads the store', () => {
     feed.receivePositions('source', { [TABLE]: { end: 5, ageMs: 0 } })
     expect(feed.covers(TABLE, 5, MAX_AGE_MS)).to.equal(false)
--- a/packages/daemon/src/core/control/tableReader.ts
+++ b/packages/daemon/src/core/control/tableReader.ts
@@ -9,12 +9,8 @@
 /** Backoff after a failed call; doubles up to the maximum. Even a refused call has a cost. */
 const INITIAL_RETRY_MS = 100
 const MAX_RETRY_MS = 500
-/**
- * The same for a VM that is in contact with those that it follows: they notify it once the store answers them, and a
- * whole fleet that retries is a load on a store in trouble.
- */
-const INITIAL_FOLLOWER_RETRY_MS = 1000
-const MAX_FOLLOWER_RETRY_MS = 4000
+/** Maximum for a VM that is in contact with those that it follows, which notify it once the store answers them. */
+const MAX_FOLLOWER_RETRY_MS = 1500
 
 /** Receives the content of a table. */
 export interface TableConsumer {
@@ -224,7 +220,7 @@
     if (!this.isFailing) this.options.consumer.onFailure(failure)
     this.isFailing = true
     const { feed, table, maxFeedAgeMs } = this.options
-    const pauseMs = feed.isFollowing ? Math.max(this.retryMs, INITIAL_FOLLOWER_RETRY_MS) : this.retryMs
+    const pauseMs = this.retryMs
     this.retryMs = Math.min(pauseMs * 2, feed.isFollowing ? MAX_FOLLOWER_RETRY_MS : MAX_RETRY_MS)
     if (this.offset === undefined) await sleep(pauseMs, signal)
     else await feed.waitUntilCovered(table, () => this.offset ?? 0, maxFeedAgeMs, pauseMs, signal)
--- a/packages/daemon/src/core/feed/changeFeed.ts
+++ b/packages/daemon/src/core/feed/changeFeed.ts
@@ -166,10 +166,12 @@
     return wasCovered
   }
 
-  /** Waits until the table is covered, for at most `pauseMs`. */
+  /** Waits until the table is covered, for at most `pauseMs`; a VM that becomes the source meanwhile waits no longer. */
   async waitUntilCovered (table: TableName, offset: () => number, maxAgeMs: Milliseconds, pauseMs: Milliseconds, signal: AbortSignal): Promise<void> {
     const until = this.clock.now() + pauseMs
+    const wasDependent = this.isDependent
     while (!signal.aborted && this.clock.now() < until && !this.covers(table, offset(), maxAgeMs)) {
+      if (wasDependent && !this.isDependent) return
       await this.waitForChange(until - this.clock.now(), signal)
     }
   }
