--- a/packages/daemon/src/core/callers/proxy.ts
+++ b/packages/daemon/src/core/callers/proxy.ts
@@ -12,10 +12,14 @@
 import { PipelineCounter } from './pipelineCounter.js'
 import { readBody, type RequestBody } from './requestBody.js'
 import type { RequestIds } from './requestIds.js'
+import type { StopPlan } from '../gateway/stopPlan.js'
 import type { ServiceForwarder } from '../upstreams/serviceForwarder.js'
 
 const MAX_FINGERPRINT_LENGTH = 200
 
+/** After this time, a caller that a stopping VM has refused may send its request to another one. */
+const STOPPING_RETRY_MS: Milliseconds = 20
+
 /** The service that a request is routed to, and its kind. */
 export interface RequestTarget {
   readonly forwarder: ServiceForwarder
@@ -33,8 +37,10 @@
   readonly bodyTimeoutMs: Milliseconds
   /** Size limit of request bodies; unlimited if absent. */
   readonly maxBodyBytes?: () => number
-  /** Whether the daemon is stopping, so that callers must use a new connection for their next request. */
-  readonly isStopping: () => boolean
+  /** Set while the daemon is stopping: callers must then use a new connection for their next request. */
+  readonly stopPlan: () => StopPlan | undefined
+  /** Called when a request that has a service is refused without being submitted to it. */
+  readonly onRefused: (requestId: string, code: ResultCodeName) => void
   readonly onError: (error: Error) => void
 }
 
@@ -85,6 +91,10 @@
     if (typeof target === 'string') return sink.sendError(target, '')
     const timeLeftMs = dialect.timeLeftMs(request.headers) ?? Infinity
     const deadlineAt = arrivedAt + Math.min(timeLeftMs, target.kind.deadlineMs)
+    if (this.options.stopPlan()?.accepts(arrivedAt, deadlineAt) === false) {
+      this.options.onRefused(requestId, 'stopping')
+      return sink.sendError('stopping', '', { retryAfterMs: STOPPING_RETRY_MS })
+    }
     const routed = { request, response, sink, target, requestId, arrivedAt, deadlineAt }
     readBody(request, {
       timeoutMs: Math.min(this.options.bodyTimeoutMs, Math.max(deadlineAt - arrivedAt, 0)),
@@ -96,9 +106,9 @@
   }
 
   private createSink (request: IncomingMessage, response: ServerResponse, requestId: string): CallerSink {
-    const { dialect, isStopping } = this.options
+    const { dialect, stopPlan } = this.options
     // Closing after an earlier response would drop the requests that the caller has pipelined behind it.
-    const closesConnection = (): boolean => isStopping() && this.pipelines.isLast(request.socket)
+    const closesConnection = (): boolean => stopPlan() !== undefined && this.pipelines.isLast(request.socket)
     return CallerSink.create(response, { requestId, dialect, closesConnection })
   }
 
--- a/packages/daemon/src/core/gateway/gateway.ts
+++ b/packages/daemon/src/core/gateway/gateway.ts
@@ -29,6 +29,7 @@
 import { GatewayServices } from './gatewayServices.js'
 import { MonotonicClock } from './monotonicClock.js'
 import { ReadinessServer } from './readinessServer.js'
+import { StopPlan } from './stopPlan.js'
 import { vmShareOf } from './vmShare.js'
 import { GATEWAY_ROUTING_OVERRIDES } from './routingDefaults.js'
 
@@ -43,15 +44,6 @@
 /** Assumed number of entry VMs until the others are known: this one. */
 const INITIAL_FLEET_SIZE = 1
 
-/**
- * Share of the grace period in which a stopping daemon still accepts connections, until the load balancer has
- * detected that it is no longer ready.
- */
-const ACCEPT_GRACE_SHARE = 0.55
-
-/** Share of the grace period after which a stopping daemon exits even with requests in flight. */
-const DRAIN_GRACE_SHARE = 0.97
-
 const DRAIN_POLL_MS: Milliseconds = 20
 
 /** External dependencies of the gateway. */
@@ -82,7 +74,8 @@
   private readonly startedAt = this.clock.now()
   private stallCount = 0
   private fleetSize = INITIAL_FLEET_SIZE
-  private isStopping = false
+  /** Set once the daemon is stopping. */
+  private stopPlan: StopPlan | undefined
   private progressTimer: NodeJS.Timeout | undefined
 
   private constructor (private settings: GatewaySettings, private readonly dependencies: GatewayDependencies) {
@@ -161,13 +154,12 @@
 
   /** Drains the daemon and stops it; returns the number of requests interrupted at the end of the grace period. */
   async stop (): Promise<number> {
-    const { graceMs } = this.settings
-    const stopStartedAt = this.clock.now()
-    this.isStopping = true
+    const plan = StopPlan.create(this.clock.now(), this.settings.graceMs)
+    this.stopPlan = plan
     this.eventLog.logger.info('stopping', { inFlight: this.proxy.inFlight })
-    await sleep(graceMs * ACCEPT_GRACE_SHARE)
+    await sleep(plan.listensUntil - this.clock.now())
     this.callerServer.stopListening()
-    while (!this.callerServer.isClosed && this.clock.now() < stopStartedAt + graceMs * DRAIN_GRACE_SHARE) {
+    while (!this.callerServer.isClosed && this.clock.now() < plan.exitsAt) {
       this.callerServer.closeIdleConnections()
       await sleep(DRAIN_POLL_MS)
     }
@@ -179,7 +171,7 @@
 
   /** Why the daemon is not ready; empty when it is. */
   unreadyReasons (): readonly string[] {
-    if (this.isStopping) return ['stopping']
+    if (this.stopPlan !== undefined) return ['stopping']
     const reasons = this.supervisor.failingComponents().map(name => `${name} fails repeatedly`)
     reasons.push(...this.controlState.missing())
     const isWaitingForPolicy = this.clock.now() < this.startedAt + POLICY_WAIT_MS
@@ -257,7 +249,8 @@
       route: request => this.services.route(request),
       bodyTimeoutMs: this.settings.bodyTimeoutMs,
       maxBodyBytes: () => this.services.config?.limits.maxBodyBytes ?? Infinity,
-      isStopping: () => this.isStopping,
+      stopPlan: () => this.stopPlan,
+      onRefused: (request, outcome) => this.eventLog.logRequest('result', { request, outcome }),
       onError: error => this.eventLog.logger.error('internal error while handling a request', { error: error.stack })
     })
   }
