Let the cost of leaving a failure domain follow from the time that a call has to spare

Leaving the domain cost 15 ms plus 3 ms a kilobyte, whatever the target, so that a call of 220 ms with a target of 600 left its domain for any upstream that was a little freer.

--- a/packages/core/src/core/routing/expectedDelayPicker.ts
+++ b/packages/core/src/core/routing/expectedDelayPicker.ts
@@ -1,6 +1,7 @@
 import type { Milliseconds } from '../../types/clock.js'
 import type { PickContext, Picker, UpstreamView } from '../../types/picker.js'
 import { DEFAULT_ROUTING_POLICY, type RoutingPolicy } from '../../types/routingPolicy.js'
+import { crossDomainCost } from './crossDomainCost.js'
 import { crowdingFactor } from './slotUse.js'
 import { expectedExcess } from '../../utils/expectedExcess.js'
 
@@ -14,7 +15,6 @@
 const COLD_EXTRA_SERVICE_TIMES = 4
 // Extra cost of an upstream without response to probes, probably unreachable, as a share of the call's deadline.
 const UNRESPONSIVE_COST_SHARE = 0.5
-const BYTES_PER_KILOBYTE = 1024
 const MIN_VARIANCE = 0.05
 // An upstream without a recent report is chosen unless its expected time exceeds the best by more than half.
 const REFRESH_COST_FACTOR = 2 / 3
@@ -123,11 +123,9 @@
     return (view.reportTrust ?? 1) * Math.exp(-age / (serviceMs * this.policy.reportAgingServiceTimes))
   }
 
-  /** Cost of leaving the VM's own failure domain; it grows with the size of the response. */
   private domainCost (view: UpstreamView, context: PickContext): Milliseconds {
-    if (context.ownDomain === undefined || view.upstream.failureDomain === context.ownDomain) return 0
-    const kilobytes = (context.responseBytes ?? 0) / BYTES_PER_KILOBYTE
-    return this.policy.crossDomainCostMs + kilobytes * this.policy.crossDomainCostPerKilobyteMs
+    const isOwn = context.ownDomain === undefined || view.upstream.failureDomain === context.ownDomain
+    return isOwn ? 0 : crossDomainCost(context.kind, context.responseBytes ?? 0, this.policy)
   }
 
   private cost (view: UpstreamView, estimate: DelayEstimate, context: PickContext): number {
--- a/packages/core/src/types/routingPolicy.ts
+++ b/packages/core/src/types/routingPolicy.ts
@@ -43,6 +43,12 @@
   readonly crossDomainCostMs: Milliseconds
   /** Further accepted delay for each kilobyte of the kind's mean response size. */
   readonly crossDomainCostPerKilobyteMs: Milliseconds
+  /** Further accepted delay as a share of the kind's target: a kind with time to spare stays in its failure domain. */
+  readonly crossDomainTargetShare: number
+  /** The same for each kilobyte of the kind's mean response size. */
+  readonly crossDomainTargetSharePerKilobyte: number
+  /** Largest such share of the target, whatever the size: a call that would miss its target otherwise leaves the domain. */
+  readonly crossDomainMaxTargetShare: number
 
   /** Number of best upstreams that are probed before a call is sent if their load reports are old; 0 sends no such probes. */
   readonly probeUpstreams: number
@@ -170,6 +176,9 @@
   relativeTimeAgingMs: 150,
   crossDomainCostMs: 0,
   crossDomainCostPerKilobyteMs: 0,
+  crossDomainTargetShare: 0,
+  crossDomainTargetSharePerKilobyte: 0,
+  crossDomainMaxTargetShare: 0.5,
   probeUpstreams: 0,
   probeReportAgeMs: 50,
   probeWaitMs: 4,
