Bound what an upstream may send besides bodies

The bytes in a row that are neither body nor the end of a response are now limited to 64 KB, skipped responses to 256 KB; past that the exchange fails as invalid and the connection is closed.

--- a/packages/daemon/src/core/upstreams/httpConnection.ts
+++ b/packages/daemon/src/core/upstreams/httpConnection.ts
@@ -41,6 +41,9 @@
   readonly onClose: () => void
 }
 
+/** Bytes of responses to other requests that are read before the response to an exchange. */
+const MAX_SKIPPED_BYTES = 256 * 1024
+
 /** Idle time before the first TCP keep-alive probe, by which the kernel detects an unreachable peer. */
 const KEEP_ALIVE_PROBE_MS = 1000
 
@@ -55,6 +58,8 @@
   private request: OutgoingRequest | undefined
   private isConnected = false
   private isSkipping = false
+  /** Bytes of responses skipped in this exchange. */
+  private skippedBytes = 0
   private isClosing = false
   private isClosed = false
   private wasReset = false
@@ -91,6 +96,7 @@
     this.request = request
     this.handler = handler
     this.isSkipping = false
+    this.skippedBytes = 0
     if (this.isConnected) this.write(request)
   }
 
@@ -183,10 +189,17 @@
   }
 
   private onData (chunk: Buffer): void {
+    if (this.isSkipping) this.countSkipped(chunk.length)
     if (this.isSkipping || this.handler === undefined) return
     if (!this.handler.onData(chunk)) this.socket.pause()
   }
 
+  /** Closes the connection if the response that belongs to no request goes on too long. */
+  private countSkipped (bytes: number): void {
+    this.skippedBytes += bytes
+    if (this.skippedBytes > MAX_SKIPPED_BYTES) this.failExchange('invalid')
+  }
+
   private onComplete (): void {
     const { handler } = this
     if (handler === undefined) return
--- a/packages/daemon/src/core/upstreams/responseParser.ts
+++ b/packages/daemon/src/core/upstreams/responseParser.ts
@@ -16,6 +16,12 @@
   onComplete (): void
 }
 
+/**
+ * Bytes that an upstream may send in a row without a byte of a body or a complete response: heads, chunk-size lines,
+ * trailers and interim responses. Without a limit, one upstream could fill the memory of the VM.
+ */
+const MAX_FRAMING_BYTES = 64 * 1024
+
 const CHUNK_HEAD = /^[0-9a-f]{1,8}[ \t]*(;.*)?$/i
 const LENGTH = /^\d{1,15}$/
 
@@ -29,6 +35,8 @@
 export class ResponseParser {
   private readonly parser = new HTTPParser('RESPONSE')
   private isInterim = false
+  /** Bytes since the last byte of a body or the last complete response. */
+  private framingBytes = 0
 
   private constructor (events: ParserEvents, isHead: () => boolean) {
     const { parser } = this
@@ -40,9 +48,14 @@
       events.onHead({ status: info.statusCode, rawHeaders: info.headers, keepsConnection: info.shouldKeepAlive })
       return isHead() ? 1 : 0
     }
-    parser[HTTPParser.kOnBody] = (chunk, offset, length) => events.onData(chunk.subarray(offset, offset + length))
+    parser[HTTPParser.kOnBody] = (chunk, offset, length) => {
+      this.framingBytes = 0
+      events.onData(chunk.subarray(offset, offset + length))
+    }
     parser[HTTPParser.kOnMessageComplete] = () => {
-      if (!this.isInterim) events.onComplete()
+      if (this.isInterim) return
+      this.framingBytes = 0
+      events.onComplete()
     }
   }
 
@@ -51,10 +64,11 @@
     return new ResponseParser(events, isHead)
   }
 
-  /** Returns false if the bytes are not a valid response. */
+  /** Returns false if the bytes are not a valid response, or exceed a limit. */
   parse (chunk: Buffer): boolean {
+    this.framingBytes += chunk.length
     try {
-      return typeof this.parser.execute(chunk) === 'number'
+      return typeof this.parser.execute(chunk) === 'number' && this.framingBytes <= MAX_FRAMING_BYTES
     } catch {
       return false
     }
