--- a/packages/daemon/src/core/gateway/adminServer.ts
+++ b/packages/daemon/src/core/gateway/adminServer.ts
@@ -22,7 +22,7 @@
   private constructor (private readonly options: AdminServerOptions) {
     const { status, dump } = options
     this.server = createServer((request, response) => {
-      if (request.url === '/metrics') void this.sendMetrics(response)
+      if (request.url === '/metrics') this.sendMetrics(response).catch((error: Error) => sendFailure(response, error))
       else if (request.url === '/status') sendJson(response, status())
       else if (request.url === '/dump') sendJson(response, dump())
       else response.writeHead(404).end()
@@ -53,6 +53,12 @@
   }
 }
 
+/** A metric that cannot be read fails its request; as an unhandled rejection it would end the process. */
+function sendFailure (response: ServerResponse, error: Error): void {
+  response.writeHead(500, { 'content-type': 'text/plain' })
+  response.end(`${error.message}\n`)
+}
+
 function sendJson (response: ServerResponse, value: unknown): void {
   response.writeHead(200, { 'content-type': 'application/json' })
   response.end(JSON.stringify(value))
