Pass each position on once, and report progress of waiting attempts less often

Relays sent positions for each VM that they heard them from and at each heartbeat, ten messages a second to each follower; each VM woke up fifty times a second to report progress of attempts whose shortest stall time-out is 200 ms. Now a position is sent on once, a heartbeat only where nothing was sent, and progress is reported every 50 ms. The test fails before (three messages for one read).

--- a/packages/daemon/__tests__/changeFeed.test.ts
+++ b/packages/daemon/__tests__/changeFeed.test.ts
@@ -50,6 +50,19 @@
     expect(feed.covers(TABLE, 5, MAX_AGE_MS)).to.equal(false)
   })
 
+  // Guards against relays that repeat each position for every VM that they hear it from.
+  it('publishes a position once', () => {
+    let published = 0
+    feed.setPublisher({ onChanges: () => {}, onPosition: () => void (published += 1) })
+    feed.receivePositions('source', { [TABLE]: { end: 5, ageMs: 0 } })
+    feed.receivePositions('standby', { [TABLE]: { end: 5, ageMs: 1 } })
+    feed.receivePositions('standby', { [TABLE]: { end: 5, ageMs: 100 } })
+    expect(published).to.equal(1)
+    clock.advance(500)
+    feed.receivePositions('source', { [TABLE]: { end: 5, ageMs: 0 } })
+    expect(published).to.equal(2)
+  })
+
   // Guards against followers that believe to have all changes because the VM that they follow lacks some as well.
   it('does not pass on a position beyond its own copy', () => {
     feed.setRole('relay')
--- a/packages/daemon/src/core/feed/changeFeed.ts
+++ b/packages/daemon/src/core/feed/changeFeed.ts
@@ -14,6 +14,9 @@
 /** The standby reads the store at this share of the age at which other VMs do, so that one VM does it for all. */
 const STANDBY_AGE_SHARE = 0.8
 
+/** Positions that are newer by less are the same read, reported by several VMs with its age rounded. */
+const MIN_ADVANCE_MS: Milliseconds = 20
+
 /** Longest wait for another VM's copy of a table after this VM has learned its role. */
 const COPY_WAIT_MS: Milliseconds = 500
 
@@ -113,12 +116,14 @@
   receivePositions (vmId: string, positions: Partial<Record<TableName, FeedPosition>>): void {
     const now = this.clock.now()
     const known = this.followedPositions.get(vmId) ?? new Map<TableName, Position>()
+    const readAtBefore = this.newestReads()
     for (const [table, { end, ageMs }] of Object.entries(positions) as Array<[TableName, FeedPosition]>) {
       known.set(table, { end, readAt: now - ageMs })
     }
     this.followedPositions.set(vmId, known)
     this.notify()
-    this.publisher?.onPosition()
+    const readAt = this.newestReads()
+    if (readAt.some((at, index) => at - (readAtBefore[index] as Milliseconds) > MIN_ADVANCE_MS)) this.publisher?.onPosition()
   }
 
   /** Called when a VM is no longer followed. */
@@ -208,6 +213,11 @@
     return reached.reduce<Position | undefined>((newest, each) => newest === undefined || each.readAt > newest.readAt ? each : newest, undefined)
   }
 
+  /** When each table was last read; -Infinity where that is not known. */
+  private newestReads (): Milliseconds[] {
+    return [...this.tables.keys()].map(table => this.newestPosition(table)?.readAt ?? -Infinity)
+  }
+
   private positionsOf (table: TableName): Position[] {
     return [...this.followedPositions.values()].flatMap(positions => positions.get(table) ?? [])
   }
--- a/packages/daemon/src/core/feed/feedServer.ts
+++ b/packages/daemon/src/core/feed/feedServer.ts
@@ -75,7 +75,7 @@
     })
     server.once('error', onFailure)
     server.on('connection', socket => this.accept(socket))
-    this.heartbeat = setInterval(() => this.onPosition(), HEARTBEAT_MS)
+    this.heartbeat = setInterval(() => this.sendHeartbeat(), HEARTBEAT_MS / 2)
   }
 
   async stop (): Promise<void> {
@@ -98,6 +98,11 @@
     else this.positionTimer ??= setTimeout(() => this.sendPositions(), delayMs)
   }
 
+  /** Sends the positions unless a message has shown a short time ago that this VM is up. */
+  private sendHeartbeat (): void {
+    if (this.options.clock.now() - this.positionsSentAt >= HEARTBEAT_MS / 2) this.sendPositions()
+  }
+
   private sendPositions (): void {
     clearTimeout(this.positionTimer)
     this.positionTimer = undefined
--- a/packages/daemon/src/core/gateway/gateway.ts
+++ b/packages/daemon/src/core/gateway/gateway.ts
@@ -34,7 +34,7 @@
 import { GATEWAY_ROUTING_OVERRIDES } from './routingDefaults.js'
 
 /** How often attempts that wait for a slow caller report progress; short compared with the shortest stall timeout. */
-const PROGRESS_REPORT_INTERVAL_MS: Milliseconds = 20
+const PROGRESS_REPORT_INTERVAL_MS: Milliseconds = 50
 
 const CONNECT_TIMEOUT_MS: Milliseconds = 500
 
