--- a/packages/core/__tests__/slotUse.test.ts
+++ b/packages/core/__tests__/slotUse.test.ts
@@ -35,6 +35,11 @@
     expect([0, 1, 2].map(running => crowdingFactor(2, running, POLICY))).to.deep.equal([1, 1.7, 1.7])
   })
 
+  // Guards against calls that avoid upstreams as crowded although the VM would let them wait instead.
+  it('count as a slowdown only where they are used', () => {
+    expect([1, 2, 3].map(running => crowdingFactor(3, running, POLICY))).to.deep.equal([1, 1, 1])
+  })
+
   it('are all of them, at full speed, by default', () => {
     expect(usableSlots(4, DEFAULT_ROUTING_POLICY)).to.equal(4)
     expect(crowdingFactor(4, 5, DEFAULT_ROUTING_POLICY)).to.equal(1)
--- a/packages/core/src/core/routing/slotUse.ts
+++ b/packages/core/src/core/routing/slotUse.ts
@@ -17,10 +17,13 @@
   return slots > uncrowded * policy.crowdedTimeFactor ? slots : uncrowded
 }
 
-/** Factor by which a request takes longer at an upstream with `slots` that is expected to run `running` others. */
+/**
+ * Factor by which a request takes longer at an upstream with `slots` that is expected to run `running` others. 1 where the
+ * slots that slow it down are not used: calls beyond the others wait there, and their wait is estimated for itself.
+ */
 export function crowdingFactor (slots: number, running: number, policy: SlotUsePolicy): number {
   const uncrowded = uncrowdedSlots(slots, policy)
-  if (uncrowded === slots) return 1
+  if (usableSlots(slots, policy) === uncrowded) return 1
   const crowdedShare = Math.min(1, Math.max(0, running + 1 - uncrowded))
   return 1 + (policy.crowdedTimeFactor - 1) * crowdedShare
 }
