Refuse what may outlast a stopping VM also where the grace period is short

The first 2.5 s of a stop, in which everything is taken, could be longer than the whole grace period: a deployment with 2 s would have had requests cut off. They now end with the time in which the VM listens. The test fails before, where a request of 1 s is taken 1.5 s into a stop of 2 s. Found by reading.

--- a/packages/daemon/__tests__/stopPlan.test.ts
+++ b/packages/daemon/__tests__/stopPlan.test.ts
@@ -19,6 +19,13 @@
     expect(accepts(3200, 5000)).to.equal(false)
   })
 
+  // Guards against cutting off requests in a deployment whose grace period is shorter than a load balancer needs.
+  it('does so for a short grace period as well', () => {
+    const short = StopPlan.create(STARTED_AT, 2000)
+    expect(short.accepts(STARTED_AT + 1500, STARTED_AT + 2500)).to.equal(false)
+    expect(short.accepts(STARTED_AT + 1500, STARTED_AT + 1800)).to.equal(true)
+  })
+
   it('listens for a part of the grace period and exits before its end', () => {
     expect(plan.listensUntil).to.be.within(STARTED_AT + 3000, plan.exitsAt)
     expect(plan.exitsAt).to.be.below(STARTED_AT + GRACE_MS)
--- a/packages/daemon/src/core/gateway/stopPlan.ts
+++ b/packages/daemon/src/core/gateway/stopPlan.ts
@@ -15,10 +15,13 @@
   readonly listensUntil: Milliseconds
   /** When the daemon exits at the latest. */
   readonly exitsAt: Milliseconds
+  /** Until when callers may still have no other VM to go to. */
+  private readonly detectedAt: Milliseconds
 
-  private constructor (private readonly startedAt: Milliseconds, graceMs: Milliseconds) {
+  private constructor (startedAt: Milliseconds, graceMs: Milliseconds) {
     this.listensUntil = startedAt + graceMs * ACCEPT_GRACE_SHARE
     this.exitsAt = startedAt + graceMs * DRAIN_GRACE_SHARE
+    this.detectedAt = Math.min(startedAt + BALANCER_DETECTION_MS, this.listensUntil)
   }
 
   static create (startedAt: Milliseconds, graceMs: Milliseconds): StopPlan {
@@ -30,6 +33,6 @@
    * refused: it would be cut off, while it can run elsewhere.
    */
   accepts (now: Milliseconds, deadlineAt: Milliseconds): boolean {
-    return now <= this.startedAt + BALANCER_DETECTION_MS || deadlineAt <= this.exitsAt
+    return now <= this.detectedAt || deadlineAt <= this.exitsAt
   }
 }
