Log and count the request rates that upstreams name

A line for each rate that an upstream names, changes or withdraws gives what this VM sent since; a gauge counts such upstreams, and the dump shows the rate. The stand-in of upstreams can name a rate. No decision uses it yet.

--- a/packages/core/src/core/dispatch/attemptEventHandler.ts
+++ b/packages/core/src/core/dispatch/attemptEventHandler.ts
@@ -1,6 +1,6 @@
 import type { Milliseconds } from '../../types/clock.js'
 import type { AttemptEnd } from '../../types/dispatch.js'
-import type { LoadReport } from '../../types/upstream.js'
+import type { LoadReport, RateNotice } from '../../types/upstream.js'
 import { resultCodeOf, isUpstreamFailure, failureResult } from './attemptEnds.js'
 import type { CallEngine } from './callEngine.js'
 import type { AttemptState, CallState } from './callState.js'
@@ -39,6 +39,7 @@
   onEnd (attempt: AttemptState, end: AttemptEnd): void {
     this.engine.removeAttempt(attempt)
     if (end.report !== undefined) this.onReport(attempt.upstreamState, end.report)
+    if (end.rateNotice !== undefined) this.onRateNotice(attempt.upstreamState, end.rateNotice)
     this.updateUpstream(attempt, end)
     this.updateSuspects(attempt, end)
     this.settleCall(attempt, end)
@@ -51,6 +52,11 @@
     if (report.draining) this.context.table.markDraining(state, report.receivedAt + this.context.policy.drainHoldMs)
   }
 
+  onRateNotice (state: UpstreamState, notice: RateNotice): void {
+    const change = state.rateLimit.onNotice(notice, this.context.clock.now())
+    if (change !== undefined) this.context.port.onRateLimit?.({ upstreamId: state.upstream.id, ...change })
+  }
+
   private updateUpstream (attempt: AttemptState, end: AttemptEnd): void {
     if (isUpstreamFailure(end)) this.recordFailure(attempt, end)
     else if (end.kind === 'answered') this.recordResponse(attempt, end)
--- a/packages/core/src/core/dispatch/callEngine.ts
+++ b/packages/core/src/core/dispatch/callEngine.ts
@@ -161,8 +161,7 @@
   removeAttempt (attempt: AttemptState): void {
     this.attempts.delete(attempt.attempt.id)
     this.context.timers.cancel(attempt.timer)
-    attempt.upstreamState.inFlight -= 1
-    attempt.upstreamState.runningAttempts.delete(attempt)
+    attempt.upstreamState.onAttemptEnd(attempt)
     const running = attempt.callState.running
     running.splice(running.indexOf(attempt), 1)
   }
@@ -375,9 +374,7 @@
     callState.triedUpstreams.add(upstreamState.upstream.id)
     callState.triedDomains.add(upstreamState.upstream.failureDomain)
     callState.running.push(attempt)
-    upstreamState.inFlight += 1
-    upstreamState.runningAttempts.add(attempt)
-    upstreamState.attempts += 1
+    upstreamState.onAttemptStart(attempt)
     this.attempts.set(attempt.attempt.id, attempt)
     this.context.counters.attempts += 1
     this.context.table.resizeSubset(this.attempts.size)
--- a/packages/core/src/core/dispatch/dispatcher.ts
+++ b/packages/core/src/core/dispatch/dispatcher.ts
@@ -2,7 +2,7 @@
 import type { AttemptEnd, Call } from '../../types/dispatch.js'
 import type { DispatcherSnapshot } from '../../types/dispatcherSnapshot.js'
 import { NO_POLICY_EXCEPTIONS, type PolicyExceptions, type RoutingPolicy } from '../../types/routingPolicy.js'
-import type { LoadReport, Upstream } from '../../types/upstream.js'
+import type { LoadReport, RateNotice, Upstream } from '../../types/upstream.js'
 import { AttemptEventHandler } from './attemptEventHandler.js'
 import { CallEngine } from './callEngine.js'
 import { RoutingContext, type DispatcherOptions } from './routingContext.js'
@@ -94,11 +94,15 @@
     this.engine.startWaitingCalls()
   }
 
-  /** Handles the load report that a dedicated probe returned. */
-  onProbeReport (upstreamId: string, report: LoadReport): void {
+  /**
+   * Handles the load report that a dedicated probe returned. Its response can name a request rate, but does not withdraw
+   * one, as a health check need not name it.
+   */
+  onProbeReport (upstreamId: string, report: LoadReport, rateNotice?: RateNotice): void {
     const state = this.context.table.get(upstreamId)
     if (state === undefined) return
     this.attemptEvents.onReport(state, report)
+    if (rateNotice?.kind === 'limited') this.attemptEvents.onRateNotice(state, rateNotice)
     this.context.picker.onProbeReport?.(upstreamId, report)
     this.engine.onProbeEnd(state)
     this.engine.startWaitingCalls()
--- a/packages/core/src/core/health/upstreamState.ts
+++ b/packages/core/src/core/health/upstreamState.ts
@@ -4,6 +4,7 @@
 import type { LoadReport, Upstream } from '../../types/upstream.js'
 import { usableSlots } from '../routing/slotUse.js'
 import { AdaptiveLimit } from '../limits/adaptiveLimit.js'
+import { UpstreamRateLimit } from '../limits/upstreamRateLimit.js'
 import type { RunningAttempt } from './runningAttempt.js'
 
 /** Initial values of an upstream's state. */
@@ -29,6 +30,7 @@
   errorShare = 0
   warmth = 1
   slotShare: number | undefined
+  readonly rateLimit = UpstreamRateLimit.create()
   attempts = 0
   failures = 0
 
@@ -89,6 +91,20 @@
     return slots === undefined ? undefined : usableSlots(slots, this.policy)
   }
 
+  /** Records that an attempt of this VM has started. */
+  onAttemptStart (attempt: RunningAttempt): void {
+    this.inFlight += 1
+    this.runningAttempts.add(attempt)
+    this.attempts += 1
+    this.rateLimit.onRequest()
+  }
+
+  /** Records that an attempt of this VM has ended or was cancelled. */
+  onAttemptEnd (attempt: RunningAttempt): void {
+    this.inFlight -= 1
+    this.runningAttempts.delete(attempt)
+  }
+
   /** Stores a load report unless a newer one is known. */
   onReport (report: LoadReport): void {
     if (this.report !== undefined && this.report.receivedAt > report.receivedAt) return
--- a/packages/core/src/core/health/upstreamTable.ts
+++ b/packages/core/src/core/health/upstreamTable.ts
@@ -122,6 +122,7 @@
       errorShare: state.errorShare,
       warmth: state.warmth,
       reportTrust: state.reportTrust,
+      requestsPerSecond: state.rateLimit.requestsPerSecond,
       draining: isDraining(state, now),
       ejected: state.isEjected,
       attempts: state.attempts,
--- a/packages/core/src/core/routing/loadProbes.ts
+++ b/packages/core/src/core/routing/loadProbes.ts
@@ -82,6 +82,7 @@
     if (upstream.probeSentAt !== undefined) return now - upstream.probeSentAt <= policy.probeWaitMs
     if (!probeBudget.trySpend(policy.probeBytes, now)) return false
     upstream.probeSentAt = now
+    upstream.rateLimit.onProbe()
     counters.probes += 1
     port.sendProbe?.(upstream.upstream.id)
     return true
--- a/packages/core/src/core/routing/upstreamChoice.ts
+++ b/packages/core/src/core/routing/upstreamChoice.ts
@@ -78,6 +78,7 @@
   for (const upstreamId of targets) {
     if (!context.probeBudget.trySpend(context.policy.probeBytes, pickContext.now)) return
     context.counters.probes += 1
+    context.table.get(upstreamId)?.rateLimit.onProbe()
     context.port.sendProbe?.(upstreamId)
   }
 }
--- a/packages/core/src/types/dispatch.ts
+++ b/packages/core/src/types/dispatch.ts
@@ -2,7 +2,7 @@
 import type { RequestKind } from './requestKind.js'
 import type { ResultCodeName } from './resultCode.js'
 import type { SuspectMark } from './suspectMark.js'
-import type { LoadReport } from './upstream.js'
+import type { LoadReport, RateNotice } from './upstream.js'
 
 /** A request from a caller, as the dispatcher sees it. */
 export interface Call {
@@ -70,6 +70,8 @@
   /** The upstream responded with a server error (5xx); the response itself is complete. */
   readonly serverError?: boolean
   readonly report?: LoadReport
+  /** Undefined if no response arrived, or one that says nothing usable about the upstream's request rate. */
+  readonly rateNotice?: RateNotice
   /** Size of a complete response. */
   readonly bytes?: number
 }
@@ -99,6 +101,21 @@
   readonly freshReports: number
 }
 
+/** A request rate that an upstream has named, changed or withdrawn. */
+export interface RateLimitChange {
+  readonly upstreamId: string
+  /** Requests per second that it takes from all VMs together; undefined if it names no limit any more. */
+  readonly requestsPerSecond: number | undefined
+  /** The limit before; undefined if there was none. */
+  readonly previous: number | undefined
+  /** Time since the upstream first named a limit. */
+  readonly limitedForMs: Milliseconds
+  /** Requests that this VM sent it in that time. */
+  readonly requests: number
+  /** Load probes that this VM sent it in that time. */
+  readonly probes: number
+}
+
 /** Implemented by the dispatcher's host, which carries out attempts and returns results to callers. */
 export interface DispatchPort {
   startAttempt (attempt: Attempt): void
@@ -115,4 +132,6 @@
    * crashing request within milliseconds and through other VMs.
    */
   shareSuspects? (marks: readonly SuspectMark[]): void
+  /** Notified when an upstream names, changes or withdraws a request rate. */
+  onRateLimit? (change: RateLimitChange): void
 }
--- a/packages/core/src/types/dispatcherSnapshot.ts
+++ b/packages/core/src/types/dispatcherSnapshot.ts
@@ -35,6 +35,8 @@
   readonly warmth: number
   /** From 0 to 1: how far load reports agree with this VM's own observations. */
   readonly reportTrust: number
+  /** Requests per second that it takes from all VMs together; undefined if it names no limit. */
+  readonly requestsPerSecond: number | undefined
   readonly draining: boolean
   readonly ejected: boolean
   readonly attempts: number
--- a/packages/core/src/types/upstream.ts
+++ b/packages/core/src/types/upstream.ts
@@ -20,6 +20,12 @@
   readonly warmAt?: Milliseconds
 }
 
+/**
+ * What a response says about the requests that its upstream takes from all VMs together: at most so many a second, or
+ * any number.
+ */
+export type RateNotice = { readonly kind: 'limited', readonly requestsPerSecond: number } | { readonly kind: 'unlimited' }
+
 /** An upstream's report of its own load, carried by a response or obtained by a probe. */
 export interface LoadReport {
   /** Requests that occupy a slot. */
--- a/packages/daemon/src/core/operators/metrics.ts
+++ b/packages/daemon/src/core/operators/metrics.ts
@@ -40,6 +40,7 @@
     this.addServiceGauge('cowsliplead_used_upstreams', 'Registered upstreams that this VM uses', forwarder => forwarder.upstreamCounts.used)
     this.addServiceGauge('cowsliplead_ejected_upstreams', 'Ejected upstreams, which receive trial calls only', forwarder => countUpstreams(forwarder, 'ejected'))
     this.addServiceGauge('cowsliplead_draining_upstreams', 'Draining upstreams, which receive no new calls', forwarder => countUpstreams(forwarder, 'draining'))
+    this.addServiceGauge('cowsliplead_rate_limited_upstreams', 'Upstreams that name a request rate', countRateLimited)
     this.addGauge('cowsliplead_config_revision', 'Version of the configuration in force', () => source.configVersion())
     this.addGauge('cowsliplead_ready', '1 if the daemon is ready, 0 otherwise', () => source.isReady() ? 1 : 0)
     this.addGauge('cowsliplead_calls_in_flight', 'Requests of callers in flight', () => source.callsInFlight())
@@ -144,3 +145,7 @@
 function countUpstreams (forwarder: ServiceForwarder, state: 'ejected' | 'draining'): number {
   return forwarder.dispatcher.snapshot().upstreams.filter(upstream => upstream[state]).length
 }
+
+function countRateLimited (forwarder: ServiceForwarder): number {
+  return forwarder.dispatcher.snapshot().upstreams.filter(({ requestsPerSecond }) => requestsPerSecond !== undefined).length
+}
--- a/packages/daemon/src/core/productDialect.ts
+++ b/packages/daemon/src/core/productDialect.ts
@@ -1,8 +1,9 @@
 import type { IncomingHttpHeaders } from 'node:http'
 import type { Milliseconds } from '@cowsliplead/core/types/clock.js'
 import type { AttemptHeaders, AttemptMetadata, Dialect, ResponseMetadata } from '../types/dialect.js'
-import { CODE_HEADER, DEADLINE_HEADER, findHeader, keepAliveMs, LOAD_REPORT_HEADER, NOT_RUN_HEADER, REQUEST_ID_HEADER, TIMEOUT_HEADER } from '../utils/headers.js'
+import { CODE_HEADER, DEADLINE_HEADER, findHeader, keepAliveMs, LOAD_REPORT_HEADER, NOT_RUN_HEADER, REQUEST_ID_HEADER, REQUEST_RATE_HEADER, TIMEOUT_HEADER } from '../utils/headers.js'
 import { parseLoadReport } from '../utils/loadReport.js'
+import { parseRateNotice } from '../utils/rateNotice.js'
 
 /** Returns the wall-clock time in milliseconds since the epoch. */
 export type WallClock = () => Milliseconds
@@ -49,6 +50,7 @@
       notRun: status === 503 && findHeader(rawHeaders, NOT_RUN_HEADER) === '1',
       isFromOtherUpstream: false,
       report: parseLoadReport(findHeader(rawHeaders, LOAD_REPORT_HEADER), now),
+      rateNotice: parseRateNotice(findHeader(rawHeaders, REQUEST_RATE_HEADER)),
       idleTimeoutMs: keepAliveMs(rawHeaders)
     }
   }
--- a/packages/daemon/src/core/upstreams/activeAttempt.ts
+++ b/packages/daemon/src/core/upstreams/activeAttempt.ts
@@ -1,6 +1,6 @@
 import type { Readable } from 'node:stream'
 import type { AttemptEnd } from '@cowsliplead/core/types/dispatch.js'
-import type { LoadReport } from '@cowsliplead/core/types/upstream.js'
+import type { LoadReport, RateNotice } from '@cowsliplead/core/types/upstream.js'
 import type { Clock } from '@cowsliplead/core/types/clock.js'
 import type { Dialect, ResponseMetadata } from '../../types/dialect.js'
 import type { ResponseHead, StreamDecision } from '../../types/responseSink.js'
@@ -68,6 +68,7 @@
   private stage: AttemptStage = 'unsent'
   private head: ResponseHead | undefined
   private report: LoadReport | undefined
+  private rateNotice: RateNotice | undefined
   private bufferedChunks: Buffer[] = []
   private bodyBytes = 0
 
@@ -117,6 +118,7 @@
     this.connection.idleTimeoutMs = metadata.idleTimeoutMs
     if (!answersAttempt(metadata, request.echoedId)) return this.onMismatchedHead()
     this.report = metadata.report
+    this.rateNotice = metadata.rateNotice
     const isFramed = this.hasFraming(head)
     this.head = { status: head.status, rawHeaders: head.rawHeaders, isFramed }
     if (metadata.notRun) this.stage = 'refused'
@@ -140,16 +142,16 @@
 
   onComplete (): void {
     this.connection.lastResponseAt = this.options.clock.now()
-    if (this.stage === 'refused') return this.finish({ kind: 'notRun', report: this.report })
+    if (this.stage === 'refused') return this.finish({ kind: 'notRun', ...this.reported() })
     if (this.stage !== 'buffering' && this.stage !== 'streaming') return
     const head = this.head as ResponseHead
     if (this.stage === 'buffering') this.bufferedResponse = { head, body: this.bufferedChunks }
-    this.finish({ kind: 'answered', serverError: head.status >= 500, report: this.report, bytes: this.bodyBytes })
+    this.finish({ kind: 'answered', serverError: head.status >= 500, ...this.reported(), bytes: this.bodyBytes })
   }
 
   onFailure (failure: ExchangeFailure): void {
     if (this.stage === 'ended') return
-    this.finish({ kind: this.endKindOf(failure), report: this.report })
+    this.finish({ kind: this.endKindOf(failure), ...this.reported() })
   }
 
   /**
@@ -199,6 +201,11 @@
     return decision === 'flowing'
   }
 
+  /** What the head of the response said about the upstream. */
+  private reported (): Pick<AttemptEnd, 'report' | 'rateNotice'> {
+    return { report: this.report, rateNotice: this.rateNotice }
+  }
+
   private fail (kind: 'crossed' | 'truncated'): void {
     this.connection.http.destroy()
     this.finish({ kind })
--- a/packages/daemon/src/core/upstreams/serviceForwarder.ts
+++ b/packages/daemon/src/core/upstreams/serviceForwarder.ts
@@ -1,4 +1,4 @@
-import type { Attempt, AttemptEnd, CallResult, CancelReason, DispatchPort, ResultDiagnostics } from '@cowsliplead/core/types/dispatch.js'
+import type { Attempt, AttemptEnd, CallResult, CancelReason, DispatchPort, RateLimitChange, ResultDiagnostics } from '@cowsliplead/core/types/dispatch.js'
 import type { Clock, Milliseconds } from '@cowsliplead/core/types/clock.js'
 import type { SuspectMark } from '@cowsliplead/core/types/suspectMark.js'
 import type { PolicyExceptions, RoutingPolicy } from '@cowsliplead/core/types/routingPolicy.js'
@@ -36,6 +36,8 @@
   onResult (call: ActiveCall, result: CallResult, tookMs: Milliseconds, waitingCalls: number, diagnostics?: ResultDiagnostics): void
   /** The number of registered upstreams of the service, or of those that this VM uses, has changed. */
   onUpstreams (registered: number, used: number): void
+  /** An upstream has named, changed or withdrawn a request rate. */
+  onRateLimit (change: RateLimitChange): void
 }
 
 /** An attempt in progress and the pool that its connection returns to. */
@@ -84,6 +86,10 @@
     this.options.onSuspects(marks)
   }
 
+  onRateLimit (change: RateLimitChange): void {
+    this.options.observer?.onRateLimit(change)
+  }
+
   /** Number of calls without a result. */
   get callsInFlight (): number {
     return this.calls.size
@@ -216,7 +222,7 @@
     if (connections === undefined || connection === undefined) return
     UpstreamProbe.send({ connection, path: healthPath, upstreamId, dialect, clock }, result => {
       connections.release(connection)
-      if (result.kind === 'report') this.dispatcher.onProbeReport(upstreamId, result.report)
+      if (result.kind === 'report') this.dispatcher.onProbeReport(upstreamId, result.report, result.rateNotice)
       else this.dispatcher.onProbeFailed(upstreamId)
       this.rescheduleTick()
     })
--- a/packages/daemon/src/core/upstreams/upstreamProbe.ts
+++ b/packages/daemon/src/core/upstreams/upstreamProbe.ts
@@ -1,5 +1,5 @@
 import type { Clock, Milliseconds } from '@cowsliplead/core/types/clock.js'
-import type { LoadReport } from '@cowsliplead/core/types/upstream.js'
+import type { LoadReport, RateNotice } from '@cowsliplead/core/types/upstream.js'
 import type { Dialect } from '../../types/dialect.js'
 import type { Connection } from './connectionPool.js'
 import type { ExchangeHandler } from './httpConnection.js'
@@ -9,7 +9,9 @@
 const PROBE_TIMEOUT_MS: Milliseconds = 250
 
 /** Result of a probe. `failed`: the upstream was not reached or sent no load report, or a different one answered. */
-export type ProbeResult = { readonly kind: 'report', readonly report: LoadReport } | { readonly kind: 'failed' }
+export type ProbeResult =
+  | { readonly kind: 'report', readonly report: LoadReport, readonly rateNotice: RateNotice | undefined }
+  | { readonly kind: 'failed' }
 
 /** Options of a probe. */
 export interface UpstreamProbeOptions {
@@ -23,6 +25,7 @@
 /** Requests the load report of one upstream. The health that it reports is ignored, as it may be wrong either way. */
 export class UpstreamProbe implements ExchangeHandler {
   private report: LoadReport | undefined
+  private rateNotice: RateNotice | undefined
   private readonly timer: NodeJS.Timeout
 
   private constructor (private readonly options: UpstreamProbeOptions, private readonly done: (result: ProbeResult) => void) {
@@ -48,6 +51,7 @@
     connection.lastResponseAt = clock.now()
     connection.idleTimeoutMs = metadata.idleTimeoutMs
     if (!metadata.isFromOtherUpstream) this.report = metadata.report
+    this.rateNotice = metadata.rateNotice
     return 'accept'
   }
 
@@ -71,6 +75,7 @@
 
   private end (): void {
     clearTimeout(this.timer)
-    this.done(this.report === undefined ? { kind: 'failed' } : { kind: 'report', report: this.report })
+    const { report, rateNotice } = this
+    this.done(report === undefined ? { kind: 'failed' } : { kind: 'report', report, rateNotice })
   }
 }
--- a/packages/daemon/src/types/dialect.ts
+++ b/packages/daemon/src/types/dialect.ts
@@ -1,6 +1,6 @@
 import type { IncomingHttpHeaders } from 'node:http'
 import type { Milliseconds } from '@cowsliplead/core/types/clock.js'
-import type { LoadReport } from '@cowsliplead/core/types/upstream.js'
+import type { LoadReport, RateNotice } from '@cowsliplead/core/types/upstream.js'
 
 /** What an attempt conveys to its upstream in headers. */
 export interface AttemptMetadata {
@@ -30,6 +30,8 @@
   /** A different upstream answers at this address. */
   readonly isFromOtherUpstream: boolean
   readonly report: LoadReport | undefined
+  /** Undefined if what the response says about the upstream's request rate cannot be used. */
+  readonly rateNotice: RateNotice | undefined
   /** How long the upstream keeps the connection open while it is idle; undefined if not announced. */
   readonly idleTimeoutMs: Milliseconds | undefined
 }
--- a/packages/daemon/src/utils/headers.ts
+++ b/packages/daemon/src/utils/headers.ts
@@ -6,6 +6,8 @@
 export const TIMEOUT_HEADER = 'x-timeout-ms'
 /** Load report of an upstream, as JSON. */
 export const LOAD_REPORT_HEADER = 'x-load-report'
+/** Requests per second that an upstream takes from all VMs together, as a decimal number; absent if it names no limit. */
+export const REQUEST_RATE_HEADER = 'x-request-rate'
 /** `1` on a 503 response by which an upstream states that it did not run the request. */
 export const NOT_RUN_HEADER = 'x-not-run'
 /** Number of the result code, on error responses that the daemon generates. */
--- a/packages/standin/src/core/productHeaders.ts
+++ b/packages/standin/src/core/productHeaders.ts
@@ -20,10 +20,11 @@
     }
   }
 
-  writeResponse ({ requestId, load }: ResponseMetadata): Record<string, string> {
+  writeResponse ({ requestId, load, requestsPerSecond }: ResponseMetadata): Record<string, string> {
     return {
       ...(requestId === undefined ? {} : { 'x-request-id': requestId }),
-      ...(load === undefined ? {} : { 'x-load-report': JSON.stringify(load) })
+      ...(load === undefined ? {} : { 'x-load-report': JSON.stringify(load) }),
+      ...(requestsPerSecond === undefined ? {} : { 'x-request-rate': String(requestsPerSecond) })
     }
   }
 }
--- a/packages/standin/src/core/upstreamStandin.ts
+++ b/packages/standin/src/core/upstreamStandin.ts
@@ -181,9 +181,9 @@
   }
 
   private headers (requestId: string | undefined): ResponseHeaders {
-    const { reports, reportDelayMs, reportOverride } = this.faults.current()
+    const { reports, reportDelayMs, reportOverride, requestsPerSecond } = this.faults.current()
     const load = reports ? { ...this.loadHistory.delayedLoad(reportDelayMs) ?? this.load(), ...reportOverride } : undefined
-    return this.dependencies.headers.writeResponse({ requestId, upstreamId: this.options.id, load })
+    return this.dependencies.headers.writeResponse({ requestId, upstreamId: this.options.id, load, requestsPerSecond })
   }
 
   /** The current load. */
--- a/packages/standin/src/types/upstreamHeaders.ts
+++ b/packages/standin/src/types/upstreamHeaders.ts
@@ -20,6 +20,8 @@
   readonly upstreamId: string
   /** Undefined if the response carries no load report. */
   readonly load: Load | undefined
+  /** Requests per second that the upstream takes from all VMs together; undefined if it names no limit. */
+  readonly requestsPerSecond: number | undefined
 }
 
 /** The headers that an upstream stand-in exchanges with daemons. */
--- a/packages/standin/src/types/upstreamOptions.ts
+++ b/packages/standin/src/types/upstreamOptions.ts
@@ -48,6 +48,8 @@
   draining: z.boolean().default(false),
   /** Whether the upstream keeps itself registered. */
   registered: z.boolean().default(true),
+  /** Requests per second that the upstream asks all VMs together not to exceed. */
+  requestsPerSecond: z.number().min(0).optional(),
   /** Refuses every request before it runs. */
   shedding: z.boolean().default(false),
   /** Share of requests answered at once with status 500, without running. */
