--- a/packages/daemon/__tests__/tableReader.test.ts
+++ b/packages/daemon/__tests__/tableReader.test.ts
@@ -54,6 +54,7 @@
     onSnapshot: records => events.push(`snapshot ${records.map(({ key }) => key).join()}`),
     onChanges: records => events.push(`changes ${records.map(({ key }) => key).join()}`),
     onRecovery: () => events.push('return'),
+    onRestore: ({ previousEpoch, epoch }) => events.push(`restored ${previousEpoch} ${epoch}`),
     onFailure: failure => events.push(failure)
   }
   const clock = MonotonicClock.create()
@@ -70,10 +71,10 @@
   // Guards against missing changes that are made while the pages of a snapshot are read.
   it('reads all pages, then the changes from the end offset of the first page', async () => {
     const { calls, events } = await follow([
-      { newest: { records: [record('a')], nextAfter: 'a', end: 7 } },
-      { newest: { records: [record('b')], nextAfter: undefined, end: 9 } },
-      { changes: { records: [record('c')], end: 8 } },
-      { changes: { records: [], end: 8 } }
+      { newest: { records: [record('a')], nextAfter: 'a', end: 7, epoch: 0 } },
+      { newest: { records: [record('b')], nextAfter: undefined, end: 9, epoch: 0 } },
+      { changes: { records: [record('c')], end: 8, epoch: 0 } },
+      { changes: { records: [], end: 8, epoch: 0 } }
     ])
     expect(calls.slice(0, 4)).to.deep.equal(['newest', 'newest a', 'changes 7', 'changes 8'])
     expect(events.slice(0, 2)).to.deep.equal(['snapshot a,b', 'changes c'])
@@ -82,9 +83,9 @@
   // Guards against a reader that skips changes that the store no longer keeps.
   it('reads a new snapshot if the changes have expired', async () => {
     const { events } = await follow([
-      { newest: { records: [record('a')], nextAfter: undefined, end: 7 } },
+      { newest: { records: [record('a')], nextAfter: undefined, end: 7, epoch: 0 } },
       { changes: 'expired' },
-      { newest: { records: [record('b')], nextAfter: undefined, end: 90 } }
+      { newest: { records: [record('b')], nextAfter: undefined, end: 90, epoch: 0 } }
     ])
     expect(events.slice(0, 2)).to.deep.equal(['snapshot a', 'snapshot b'])
   })
@@ -92,10 +93,10 @@
   // Guards against content that is delivered before the consumer knows that there was an outage.
   it('reports an outage once, and its end before the content', async () => {
     const { events } = await follow([
-      { newest: { records: [record('a')], nextAfter: undefined, end: 7 } },
+      { newest: { records: [record('a')], nextAfter: undefined, end: 7, epoch: 0 } },
       { changes: 'unanswered' },
       { changes: 'refused' },
-      { changes: { records: [record('c')], end: 8 } }
+      { changes: { records: [record('c')], end: 8, epoch: 0 } }
     ])
     expect(events.slice(0, 4)).to.deep.equal(['snapshot a', 'unanswered', 'return', 'changes c'])
   })
--- a/packages/daemon/src/core/control/tableReader.ts
+++ b/packages/daemon/src/core/control/tableReader.ts
@@ -1,5 +1,5 @@
 import type { Clock, Milliseconds } from '@cowsliplead/core/types/clock.js'
-import type { ControlStore, StoreFailure, TableName, TableRecord } from '../../types/controlStore.js'
+import type { ControlStore, StoreEpoch, StoreFailure, TableName, TableRecord } from '../../types/controlStore.js'
 import type { Component } from '../../types/component.js'
 import type { FeedTable, OffsetChanges, TableCopy } from '../../types/feedTable.js'
 import { sleep } from '../../utils/sleep.js'
@@ -12,6 +12,14 @@
 /** Maximum for a VM that is in contact with those that it follows, which notify it once the store answers them. */
 const MAX_FOLLOWER_RETRY_MS = 1500
 
+/** A restore of the store from a copy, as a reader has noticed it. */
+export interface StoreRestore {
+  readonly epoch: StoreEpoch
+  readonly previousEpoch: StoreEpoch
+  /** Offset that the reader had reached in the previous epoch. */
+  readonly offset: number | undefined
+}
+
 /** Receives the content of a table. */
 export interface TableConsumer {
   /** All records of the table. */
@@ -20,6 +28,8 @@
   onChanges (records: readonly TableRecord[]): void
   /** The store answers again after a failure. Called before the content of that answer is delivered. */
   onRecovery (): void
+  /** The store was restored from a copy. */
+  onRestore (restore: StoreRestore): void
   /** The first call of an outage failed. */
   onFailure (failure: StoreFailure): void
 }
@@ -56,6 +66,8 @@
   private retryMs = INITIAL_RETRY_MS
   /** See `FeedTable.offset`. */
   offset: number | undefined
+  /** Epoch of the store's last answer; undefined before the first one. */
+  private epoch: StoreEpoch | undefined
   private mayTakeCopy: boolean
   private readonly newestRecords = new Map<string, Buffer>()
   private lastAnswerAt: Milliseconds | undefined
@@ -135,6 +147,7 @@
     if (signal.aborted) return undefined
     if (snapshot.isErr) return snapshot.error
     this.onAnswer()
+    this.onEpoch(snapshot.value.epoch)
     this.replace(snapshot.value)
     feed.publish(table, snapshot.value.end)
     return undefined
@@ -149,6 +162,7 @@
       return changes.error
     }
     this.onAnswer()
+    this.onEpoch(changes.value.epoch)
     this.apply({ from, records: changes.value.records })
     feed.publish(table, changes.value.end, { from, records: changes.value.records })
     return undefined
@@ -183,7 +197,13 @@
     }
   }
 
-  private replace ({ records, end }: TableSnapshot): void {
+  private onEpoch (epoch: StoreEpoch): void {
+    const previousEpoch = this.epoch
+    this.epoch = epoch
+    if (previousEpoch !== undefined && previousEpoch !== epoch) this.options.consumer.onRestore({ epoch, previousEpoch, offset: this.offset })
+  }
+
+  private replace ({ records, end }: Omit<TableSnapshot, 'epoch'>): void {
     this.newestRecords.clear()
     this.keepNewest(records)
     this.options.consumer.onSnapshot(records)
--- a/packages/daemon/src/core/control/tableSnapshot.ts
+++ b/packages/daemon/src/core/control/tableSnapshot.ts
@@ -1,10 +1,11 @@
 import { Result } from 'true-myth/result'
-import type { ControlStore, StoreResult, TableName, TableRecord } from '../../types/controlStore.js'
+import type { ControlStore, StoreEpoch, StoreResult, TableName, TableRecord } from '../../types/controlStore.js'
 
 /** The newest record of each key of a table, and the offset from which its changes have to be applied. */
 export interface TableSnapshot {
   readonly records: readonly TableRecord[]
   readonly end: number
+  readonly epoch: StoreEpoch
 }
 
 /** Reads all pages of a table. Changes made while the pages were read are found from `end` on. */
@@ -19,5 +20,5 @@
     records.push(...page.value.records)
     after = page.value.nextAfter
   }
-  return Result.ok({ records, end: first.value.end })
+  return Result.ok({ records, end: first.value.end, epoch: first.value.epoch })
 }
--- a/packages/daemon/src/testing/memoryStore.ts
+++ b/packages/daemon/src/testing/memoryStore.ts
@@ -21,6 +21,8 @@
   unansweredWrites = 0
   /** Runs once, before the next write is checked for a conflict. */
   beforeWrite: (() => void) | undefined
+  /** Number of restores from a copy. */
+  epoch = 0
   private readonly tables = new Map<TableName, TableRecord[]>()
 
   protected constructor () {}
@@ -50,7 +52,7 @@
     const records = this.records(table)
     const newest = new Map(records.map(record => [record.key, record]))
     const kept = [...newest.values()].filter(({ value }) => value !== undefined)
-    return Result.ok({ records: kept, nextAfter: undefined, end: records.length })
+    return Result.ok({ records: kept, nextAfter: undefined, end: records.length, epoch: this.epoch })
   }
 
   async readChanges (table: TableName, from: number, waitMs: number): Promise<StoreResult<TableChanges>> {
@@ -58,7 +60,7 @@
     while (this.failure === undefined && this.records(table).length <= from && Date.now() < latest) await sleep(POLL_MS)
     if (this.failure !== undefined) return Result.err(this.failure)
     const records = this.records(table)
-    return Result.ok({ records: records.slice(from), end: records.length })
+    return Result.ok({ records: records.slice(from), end: records.length, epoch: this.epoch })
   }
 
   async put (table: TableName, records: readonly TableRecord[], expectedEnd?: number): Promise<StoreResult<void>> {
--- a/packages/daemon/src/types/controlStore.ts
+++ b/packages/daemon/src/types/controlStore.ts
@@ -15,6 +15,12 @@
   readonly value: Buffer | undefined
 }
 
+/**
+ * Counts how often the store was restored from a copy. After a restore, records are missing and offsets are given out
+ * again: offsets of different epochs cannot be compared.
+ */
+export type StoreEpoch = number
+
 /**
  * Page of a table. Pages that are read one after the other are not a consistent snapshot: changes from the first page's
  * `end` on have to be applied to them.
@@ -25,6 +31,7 @@
   readonly nextAfter: string | undefined
   /** Offset of the next change. */
   readonly end: number
+  readonly epoch: StoreEpoch
 }
 
 /** Changes of a table in order. */
@@ -32,6 +39,7 @@
   readonly records: readonly TableRecord[]
   /** Offset of the next change. */
   readonly end: number
+  readonly epoch: StoreEpoch
 }
 
 /**
