Tell offsets of a restored control store from those before the restore

Cause: offsets were compared across a restore. Followers had read beyond the copy's end, so they skipped the changes that the store wrote at lower offsets and counted themselves as covered; the VM that reads the store went on from its old offset and missed what was written before it.

Positions consist of an epoch and an offset now, in readers and in the feed.

--- a/packages/daemon/__tests__/changeFeed.test.ts
+++ b/packages/daemon/__tests__/changeFeed.test.ts
@@ -5,12 +5,13 @@
 
 const TABLE = 'upstreams'
 const MAX_AGE_MS = 1000
+const REACHED = { epoch: 0, offset: 5 }
 
 /** A table of which the VM knows the first five changes. */
 function createTable (): FeedTable {
   return {
     table: TABLE,
-    offset: 5,
+    position: REACHED,
     needsCopy: false,
     records: () => [],
     receiveChanges: (changes: OffsetChanges) => changes,
@@ -30,11 +31,11 @@
 
   // Guards against a fleet whose VMs all read the store in the moment in which its source does not.
   it('lets the standby read the store before the other VMs do', () => {
-    feed.receivePositions('source', { [TABLE]: { end: 5, ageMs: 0 } })
+    feed.receivePositions('source', { [TABLE]: { epoch: 0, end: 5, ageMs: 0 } })
     clock.advance(0.9 * MAX_AGE_MS)
     const coveredRoles = (['source', 'standby', 'relay', 'follower'] as const).filter(role => {
       feed.setRole(role)
-      return feed.covers(TABLE, 5, MAX_AGE_MS)
+      return feed.covers(TABLE, REACHED, MAX_AGE_MS)
     })
     expect(coveredRoles).to.deep.equal(['relay', 'follower'])
   })
@@ -42,45 +43,55 @@
   // Guards against VMs that pass a position around and never notice that nobody reads the store any more.
   it('keeps the time of a read when it passes the position on', () => {
     feed.setRole('relay')
-    feed.receivePositions('source', { [TABLE]: { end: 5, ageMs: 300 } })
+    feed.receivePositions('source', { [TABLE]: { epoch: 0, end: 5, ageMs: 300 } })
     clock.advance(400)
-    expect(feed.positions()).to.deep.equal({ [TABLE]: { end: 5, ageMs: 700 } })
+    expect(feed.positions()).to.deep.equal({ [TABLE]: { epoch: 0, end: 5, ageMs: 700 } })
     feed.receivePositions('follower', feed.positions())
     clock.advance(400)
-    expect(feed.covers(TABLE, 5, MAX_AGE_MS)).to.equal(false)
+    expect(feed.covers(TABLE, REACHED, MAX_AGE_MS)).to.equal(false)
   })
 
   // Guards against relays that repeat each position for every VM that they hear it from.
   it('publishes a position once', () => {
     let published = 0
     feed.setPublisher({ onChanges: () => {}, onPosition: () => void (published += 1) })
-    feed.receivePositions('source', { [TABLE]: { end: 5, ageMs: 0 } })
-    feed.receivePositions('standby', { [TABLE]: { end: 5, ageMs: 1 } })
-    feed.receivePositions('standby', { [TABLE]: { end: 5, ageMs: 100 } })
+    feed.receivePositions('source', { [TABLE]: { epoch: 0, end: 5, ageMs: 0 } })
+    feed.receivePositions('standby', { [TABLE]: { epoch: 0, end: 5, ageMs: 1 } })
+    feed.receivePositions('standby', { [TABLE]: { epoch: 0, end: 5, ageMs: 100 } })
     expect(published).to.equal(1)
     clock.advance(500)
-    feed.receivePositions('source', { [TABLE]: { end: 5, ageMs: 0 } })
+    feed.receivePositions('source', { [TABLE]: { epoch: 0, end: 5, ageMs: 0 } })
     expect(published).to.equal(2)
   })
 
   // Guards against followers that believe to have all changes because the VM that they follow lacks some as well.
   it('does not pass on a position beyond its own copy', () => {
     feed.setRole('relay')
-    feed.receivePositions('source', { [TABLE]: { end: 6, ageMs: 0 } })
+    feed.receivePositions('source', { [TABLE]: { epoch: 0, end: 6, ageMs: 0 } })
     expect(feed.positions()).to.deep.equal({})
-    expect(feed.covers(TABLE, 5, MAX_AGE_MS)).to.equal(false)
+    expect(feed.covers(TABLE, REACHED, MAX_AGE_MS)).to.equal(false)
   })
 
   // Guards against a fleet that misses a configuration because its new source still waits to retry a failed read.
   it('ends the pause after a failed read once the VM becomes the source', async () => {
     feed.setRole('relay')
-    const paused = feed.waitUntilCovered(TABLE, () => 5, MAX_AGE_MS, 60_000, new AbortController().signal)
+    const paused = feed.waitUntilCovered(TABLE, () => REACHED, MAX_AGE_MS, 60_000, new AbortController().signal)
     feed.setRole('source')
     await paused
   })
 
+  // Guards against followers that skip the changes of a restored store, as it gives out lower offsets again.
+  it('does not cover a table whose positions are of another epoch', () => {
+    feed.setRole('relay')
+    feed.receivePositions('source', { [TABLE]: { epoch: 1, end: 2, ageMs: 0 } })
+    expect(feed.covers(TABLE, REACHED, MAX_AGE_MS)).to.equal(false)
+    expect(feed.positions()).to.deep.equal({})
+    expect(feed.covers(TABLE, { epoch: 1, offset: 2 }, MAX_AGE_MS)).to.equal(true)
+    expect(feed.covers(TABLE, { epoch: 2, offset: 0 }, MAX_AGE_MS)).to.equal(false)
+  })
+
   it('has no role before this VM is registered, and reads the store', () => {
-    feed.receivePositions('source', { [TABLE]: { end: 5, ageMs: 0 } })
-    expect(feed.covers(TABLE, 5, MAX_AGE_MS)).to.equal(false)
+    feed.receivePositions('source', { [TABLE]: { epoch: 0, end: 5, ageMs: 0 } })
+    expect(feed.covers(TABLE, REACHED, MAX_AGE_MS)).to.equal(false)
   })
 })
--- a/packages/daemon/__tests__/feed.test.ts
+++ b/packages/daemon/__tests__/feed.test.ts
@@ -116,7 +116,7 @@
     await Promise.all(vms.map(vm => vm.start()))
     await waitUntil(() => readers().length === 2 && others().every(vm => vm.follows === 2))
     // A VM reads the store itself until those that it follows have sent it the positions of their last reads.
-    await waitUntil(() => others().every(vm => vm.fleet.feed.covers('upstreams', 1, MAX_FEED_AGE_MS)))
+    await waitUntil(() => others().every(vm => vm.fleet.feed.covers('upstreams', { epoch: 0, offset: 1 }, MAX_FEED_AGE_MS)))
     await sleep(100)
   })
 
--- a/packages/daemon/__tests__/tableReader.test.ts
+++ b/packages/daemon/__tests__/tableReader.test.ts
@@ -100,4 +100,24 @@
     ])
     expect(events.slice(0, 4)).to.deep.equal(['snapshot a', 'unanswered', 'return', 'changes c'])
   })
+
+  // Guards against changes that are missed because a restored store gives out the offsets again that a reader has passed.
+  it('reads a new snapshot if the store was restored from a copy', async () => {
+    const { calls, events } = await follow([
+      { newest: { records: [record('a')], nextAfter: undefined, end: 7, epoch: 0 } },
+      { changes: { records: [record('b')], end: 8, epoch: 1 } },
+      { newest: { records: [record('c')], nextAfter: undefined, end: 8, epoch: 1 } }
+    ])
+    expect(calls).to.deep.equal(['newest', 'changes 7', 'newest', 'changes 8'])
+    expect(events.slice(0, 3)).to.deep.equal(['snapshot a', 'restored 0 1', 'snapshot c'])
+  })
+
+  it('does not mix pages of a store from before and after a restore', async () => {
+    const { events } = await follow([
+      { newest: { records: [record('a')], nextAfter: 'a', end: 7, epoch: 0 } },
+      { newest: { records: [record('b')], nextAfter: undefined, end: 5, epoch: 1 } },
+      { newest: { records: [record('c')], nextAfter: undefined, end: 5, epoch: 1 } }
+    ])
+    expect(events[0]).to.equal('snapshot c')
+  })
 })
--- a/packages/daemon/src/core/control/policyPublisher.ts
+++ b/packages/daemon/src/core/control/policyPublisher.ts
@@ -44,7 +44,7 @@
     const { store } = this.options
     const snapshot = await readSnapshot(store, 'fleet')
     if (snapshot.isErr) return Result.err(snapshot.error)
-    const changes = await store.readChanges('fleet', snapshot.value.end, 0)
+    const changes = await store.readChanges('fleet', snapshot.value.position.offset, 0)
     if (changes.isErr) return Result.err(changes.error)
     const record = [...snapshot.value.records, ...changes.value.records].findLast(({ key }) => key === POLICY_KEY)
     return decodeNewest(record, changes.value.end)
--- a/packages/daemon/src/core/control/tableReader.ts
+++ b/packages/daemon/src/core/control/tableReader.ts
@@ -1,5 +1,5 @@
 import type { Clock, Milliseconds } from '@cowsliplead/core/types/clock.js'
-import type { ControlStore, StoreEpoch, StoreFailure, TableName, TableRecord } from '../../types/controlStore.js'
+import type { ControlStore, StoreEpoch, StoreFailure, TableName, TablePosition, TableRecord } from '../../types/controlStore.js'
 import type { Component } from '../../types/component.js'
 import type { FeedTable, OffsetChanges, TableCopy } from '../../types/feedTable.js'
 import { sleep } from '../../utils/sleep.js'
@@ -17,7 +17,7 @@
   readonly epoch: StoreEpoch
   readonly previousEpoch: StoreEpoch
   /** Offset that the reader had reached in the previous epoch. */
-  readonly offset: number | undefined
+  readonly offset: number
 }
 
 /** Receives the content of a table. */
@@ -64,10 +64,10 @@
   private abortController = new AbortController()
   private isFailing = false
   private retryMs = INITIAL_RETRY_MS
-  /** See `FeedTable.offset`. */
-  offset: number | undefined
-  /** Epoch of the store's last answer; undefined before the first one. */
-  private epoch: StoreEpoch | undefined
+  /** See `FeedTable.position`. */
+  position: TablePosition | undefined
+  /** Position before the last failure or missed changes, to notice a restore of the store. */
+  private lastPosition: TablePosition | undefined
   private mayTakeCopy: boolean
   private readonly newestRecords = new Map<string, Buffer>()
   private lastAnswerAt: Milliseconds | undefined
@@ -88,7 +88,7 @@
   }
 
   get needsCopy (): boolean {
-    return this.mayTakeCopy && this.offset === undefined
+    return this.mayTakeCopy && this.position === undefined
   }
 
   records (): readonly TableRecord[] {
@@ -104,7 +104,7 @@
   async start (onFailure: (error: Error) => void): Promise<void> {
     this.abortController = new AbortController()
     // A consumer that failed may have applied only part of the changes.
-    this.offset = undefined
+    this.position = undefined
     this.reportFailure = onFailure
     this.run(this.abortController.signal).catch(onFailure)
   }
@@ -112,7 +112,7 @@
   async stop (): Promise<void> {
     this.abortController.abort()
     // Changes relayed from now on are ignored: the snapshot read at the next start contains them.
-    this.offset = undefined
+    this.position = undefined
   }
 
   private async run (signal: AbortSignal): Promise<void> {
@@ -125,7 +125,7 @@
       // The first read after the feed covered the table must not wait: this VM and its followers may be behind.
       const waitMs = wasCovered ? 0 : this.options.waitMs
       this.reads += 1
-      const failure = this.offset === undefined ? await this.readAll(signal) : await this.readChanges(this.offset, waitMs, signal)
+      const failure = this.position === undefined ? await this.readAll(signal) : await this.readChanges(this.position, waitMs, signal)
       if (signal.aborted) return
       if (failure === undefined) await sleep(this.options.pauseMs, signal)
       else if (failure !== 'expired') await this.backOff(failure, signal)
@@ -134,11 +134,11 @@
 
   /** Waits while the feed covers the table; returns whether it did. */
   private async waitWhileCovered (signal: AbortSignal): Promise<boolean> {
-    if (this.offset === undefined) return false
+    if (this.position === undefined) return false
     const { feed, table, maxFeedAgeMs } = this.options
     // An outage ends as soon as any VM reads again; otherwise a change long after it would count as its consequence.
-    if (feed.covers(table, this.offset, maxFeedAgeMs)) this.onAnswer()
-    return await feed.waitWhileCovered(table, () => this.offset ?? 0, maxFeedAgeMs, signal)
+    if (feed.covers(table, this.position, maxFeedAgeMs)) this.onAnswer()
+    return await feed.waitWhileCovered(table, () => this.position, maxFeedAgeMs, signal)
   }
 
   private async readAll (signal: AbortSignal): Promise<StoreFailure | undefined> {
@@ -147,31 +147,37 @@
     if (signal.aborted) return undefined
     if (snapshot.isErr) return snapshot.error
     this.onAnswer()
-    this.onEpoch(snapshot.value.epoch)
     this.replace(snapshot.value)
-    feed.publish(table, snapshot.value.end)
+    feed.publish(table, snapshot.value.position)
     return undefined
   }
 
-  private async readChanges (from: number, waitMs: Milliseconds, signal: AbortSignal): Promise<StoreFailure | undefined> {
+  private async readChanges (position: TablePosition, waitMs: Milliseconds, signal: AbortSignal): Promise<StoreFailure | undefined> {
     const { store, table, feed } = this.options
-    const changes = await store.readChanges(table, from, waitMs)
+    const changes = await store.readChanges(table, position.offset, waitMs)
     if (signal.aborted) return undefined
     if (changes.isErr) {
-      if (changes.error === 'expired') this.offset = undefined
+      if (changes.error === 'expired') this.position = undefined
       return changes.error
     }
+    const { records, end, epoch } = changes.value
+    if (epoch !== position.epoch) return this.onOtherEpoch()
     this.onAnswer()
-    this.onEpoch(changes.value.epoch)
-    this.apply({ from, records: changes.value.records })
-    feed.publish(table, changes.value.end, { from, records: changes.value.records })
+    this.apply({ epoch, from: position.offset, records })
+    feed.publish(table, { epoch, offset: end }, { epoch, from: position.offset, records })
     return undefined
   }
 
+  /** The offset that was read from means something else after a restore of the store: all records have to be read. */
+  private onOtherEpoch (): StoreFailure {
+    this.position = undefined
+    return 'expired'
+  }
+
   receiveChanges (changes: OffsetChanges): OffsetChanges | undefined {
     // A gap is filled from the store: the position of the other VM is then ahead of this one's, and nothing is covered.
-    if (this.offset === undefined || changes.from > this.offset) return undefined
-    if (changes.from + changes.records.length <= this.offset) return undefined
+    if (this.position === undefined || changes.epoch !== this.position.epoch || changes.from > this.position.offset) return undefined
+    if (changes.from + changes.records.length <= this.position.offset) return undefined
     return this.reportErrors(() => {
       this.onAnswer()
       return this.apply(changes)
@@ -197,25 +203,31 @@
     }
   }
 
-  private onEpoch (epoch: StoreEpoch): void {
-    const previousEpoch = this.epoch
-    this.epoch = epoch
-    if (previousEpoch !== undefined && previousEpoch !== epoch) this.options.consumer.onRestore({ epoch, previousEpoch, offset: this.offset })
-  }
-
-  private replace ({ records, end }: Omit<TableSnapshot, 'epoch'>): void {
+  private replace ({ records, position }: TableSnapshot): void {
+    const previous = this.lastPosition
+    if (previous !== undefined && previous.epoch !== position.epoch) this.notifyOfRestore(previous, position)
     this.newestRecords.clear()
     this.keepNewest(records)
     this.options.consumer.onSnapshot(records)
-    this.offset = end
+    this.moveTo(position)
+  }
+
+  private notifyOfRestore ({ epoch: previousEpoch, offset }: TablePosition, { epoch }: TablePosition): void {
+    this.options.consumer.onRestore({ epoch, previousEpoch, offset })
+  }
+
+  private moveTo (position: TablePosition): void {
+    this.position = position
+    this.lastPosition = position
   }
 
   /** Applies the changes that are new, as another VM may have passed some of them on meanwhile, and returns them. */
-  private apply ({ from, records }: OffsetChanges): OffsetChanges | undefined {
-    if (this.offset === undefined) return undefined
-    const fresh = { from: this.offset, records: records.slice(this.offset - from) }
+  private apply ({ epoch, from, records }: OffsetChanges): OffsetChanges | undefined {
+    if (this.position?.epoch !== epoch) return undefined
+    const { offset } = this.position
+    const fresh = { epoch, from: offset, records: records.slice(offset - from) }
     if (fresh.records.length === 0) return undefined
-    this.offset += fresh.records.length
+    this.moveTo({ epoch, offset: offset + fresh.records.length })
     this.keepNewest(fresh.records)
     this.options.consumer.onChanges(fresh.records)
     return fresh
@@ -242,7 +254,7 @@
     const { feed, table, maxFeedAgeMs } = this.options
     const pauseMs = this.retryMs
     this.retryMs = Math.min(pauseMs * 2, feed.isFollowing ? MAX_FOLLOWER_RETRY_MS : MAX_RETRY_MS)
-    if (this.offset === undefined) await sleep(pauseMs, signal)
-    else await feed.waitUntilCovered(table, () => this.offset ?? 0, maxFeedAgeMs, pauseMs, signal)
+    if (this.position === undefined) await sleep(pauseMs, signal)
+    else await feed.waitUntilCovered(table, () => this.position, maxFeedAgeMs, pauseMs, signal)
   }
 }
--- a/packages/daemon/src/core/feed/changeFeed.ts
+++ b/packages/daemon/src/core/feed/changeFeed.ts
@@ -1,12 +1,12 @@
 import type { Clock, Milliseconds } from '@cowsliplead/core/types/clock.js'
 import type { FleetRole } from '@cowsliplead/core/types/fleetMember.js'
-import type { TableName } from '../../types/controlStore.js'
+import type { TableName, TablePosition } from '../../types/controlStore.js'
 import type { FeedPosition } from '../../types/feedMessage.js'
 import type { FeedPublisher, FeedTable, OffsetChanges, TableCopy } from '../../types/feedTable.js'
+import { includes, isAhead } from '../../utils/tablePosition.js'
 
 /** How far a table was read, by this VM or another one. */
-interface Position {
-  readonly end: number
+interface ReadPosition extends TablePosition {
   /** When the store answered that read, on this VM's clock. */
   readonly readAt: Milliseconds
 }
@@ -33,9 +33,9 @@
   /** Undefined until this VM is registered as a member. */
   private role: FleetRole | undefined
   private publisher: FeedPublisher | undefined
-  private readonly ownPositions = new Map<TableName, Position>()
+  private readonly ownPositions = new Map<TableName, ReadPosition>()
   /** Positions by id of the followed VM. */
-  private readonly followedPositions = new Map<string, Map<TableName, Position>>()
+  private readonly followedPositions = new Map<string, Map<TableName, ReadPosition>>()
   private readonly tables = new Map<TableName, FeedTable>()
   private readonly declined = new Set<TableName>()
   private readonly waiters = new Set<() => void>()
@@ -68,9 +68,9 @@
     return [...this.tables.values()].filter(({ needsCopy }) => needsCopy).map(({ table }) => table)
   }
 
-  /** Publishes that this VM has read a table up to `end`, with the changes that were new. */
-  publish (table: TableName, end: number, changes?: OffsetChanges): void {
-    this.ownPositions.set(table, { end, readAt: this.clock.now() })
+  /** Publishes how far this VM has read a table, with the changes that were new. */
+  publish (table: TableName, position: TablePosition, changes?: OffsetChanges): void {
+    this.ownPositions.set(table, { ...position, readAt: this.clock.now() })
     if (changes !== undefined && changes.records.length > 0) this.publisher?.onChanges(table, changes)
     this.publisher?.onPosition()
   }
@@ -80,7 +80,7 @@
     const positions: Partial<Record<TableName, FeedPosition>> = {}
     for (const table of this.tables.keys()) {
       const newest = this.newestPosition(table)
-      if (newest !== undefined) positions[table] = { end: newest.end, ageMs: this.ageOfRead(newest) }
+      if (newest !== undefined) positions[table] = { epoch: newest.epoch, end: newest.offset, ageMs: this.ageOfRead(newest) }
     }
     return positions
   }
@@ -89,8 +89,8 @@
   copyOf (table: TableName): TableCopy | undefined {
     const known = this.tables.get(table)
     const newest = this.newestPosition(table)
-    if (known?.offset === undefined || newest === undefined) return undefined
-    return { records: known.records(), end: known.offset, ageMs: this.ageOfRead(newest) }
+    if (known?.position === undefined || newest === undefined) return undefined
+    return { records: known.records(), position: known.position, ageMs: this.ageOfRead(newest) }
   }
 
   /** Called with changes that a followed VM has passed on. */
@@ -115,10 +115,10 @@
   /** Called with the positions that a followed VM knows of. */
   receivePositions (vmId: string, positions: Partial<Record<TableName, FeedPosition>>): void {
     const now = this.clock.now()
-    const known = this.followedPositions.get(vmId) ?? new Map<TableName, Position>()
+    const known = this.followedPositions.get(vmId) ?? new Map<TableName, ReadPosition>()
     const readAtBefore = this.newestReads()
-    for (const [table, { end, ageMs }] of Object.entries(positions) as Array<[TableName, FeedPosition]>) {
-      known.set(table, { end, readAt: now - ageMs })
+    for (const [table, { epoch, end, ageMs }] of Object.entries(positions) as Array<[TableName, FeedPosition]>) {
+      known.set(table, { epoch, offset: end, readAt: now - ageMs })
     }
     this.followedPositions.set(vmId, known)
     this.notify()
@@ -160,11 +160,11 @@
 
   /**
    * Waits until the table is not covered and has to be read from the store; resolves to whether it was covered before.
-   * `offset` returns the position up to which this VM has read it.
+   * `reached` returns the position up to which this VM has read it; undefined if it has to read all of it.
    */
-  async waitWhileCovered (table: TableName, offset: () => number, maxAgeMs: Milliseconds, signal: AbortSignal): Promise<boolean> {
+  async waitWhileCovered (table: TableName, reached: () => TablePosition | undefined, maxAgeMs: Milliseconds, signal: AbortSignal): Promise<boolean> {
     let wasCovered = false
-    while (!signal.aborted && this.covers(table, offset(), maxAgeMs)) {
+    while (!signal.aborted && this.covers(table, reached(), maxAgeMs)) {
       wasCovered = true
       await this.waitForChange(this.ageLimitMs(maxAgeMs) - this.ageMs(table), signal)
     }
@@ -172,10 +172,10 @@
   }
 
   /** Waits until the table is covered, for at most `pauseMs`; a VM that becomes the source meanwhile waits no longer. */
-  async waitUntilCovered (table: TableName, offset: () => number, maxAgeMs: Milliseconds, pauseMs: Milliseconds, signal: AbortSignal): Promise<void> {
+  async waitUntilCovered (table: TableName, reached: () => TablePosition | undefined, maxAgeMs: Milliseconds, pauseMs: Milliseconds, signal: AbortSignal): Promise<void> {
     const until = this.clock.now() + pauseMs
     const wasDependent = this.isDependent
-    while (!signal.aborted && this.clock.now() < until && !this.covers(table, offset(), maxAgeMs)) {
+    while (!signal.aborted && this.clock.now() < until && !this.covers(table, reached(), maxAgeMs)) {
       if (wasDependent && !this.isDependent) return
       await this.waitForChange(until - this.clock.now(), signal)
     }
@@ -186,11 +186,14 @@
     return this.isDependent && this.followedPositions.size > 0
   }
 
-  /** Whether the table was read within `maxAgeMs`, and no read went beyond `offset`. */
-  covers (table: TableName, offset: number, maxAgeMs: Milliseconds): boolean {
-    if (!this.isDependent) return false
+  /**
+   * Whether the table was read within `maxAgeMs`, and no read went beyond `reached`. VMs that have not noticed a restore
+   * of the store cover none that has.
+   */
+  covers (table: TableName, reached: TablePosition | undefined, maxAgeMs: Milliseconds): boolean {
+    if (!this.isDependent || reached === undefined) return false
     const fresh = this.positionsOf(table).filter(({ readAt }) => this.clock.now() - readAt <= this.ageLimitMs(maxAgeMs))
-    return fresh.length > 0 && fresh.every(({ end }) => end <= offset)
+    return fresh.some(({ epoch }) => epoch === reached.epoch) && !fresh.some(position => isAhead(position, reached))
   }
 
   private get isDependent (): boolean {
@@ -202,15 +205,15 @@
   }
 
   private mayReceiveCopy (table: FeedTable): boolean {
-    return this.isDependent && table.offset === undefined && !this.declined.has(table.table)
+    return this.isDependent && table.position === undefined && !this.declined.has(table.table)
   }
 
-  private newestPosition (table: TableName): Position | undefined {
-    const offset = this.tables.get(table)?.offset
-    if (offset === undefined) return undefined
+  private newestPosition (table: TableName): ReadPosition | undefined {
+    const reached = this.tables.get(table)?.position
+    if (reached === undefined) return undefined
     const own = this.ownPositions.get(table)
-    const reached = [...this.positionsOf(table), ...own === undefined ? [] : [own]].filter(({ end }) => end <= offset)
-    return reached.reduce<Position | undefined>((newest, each) => newest === undefined || each.readAt > newest.readAt ? each : newest, undefined)
+    const known = [...this.positionsOf(table), ...own === undefined ? [] : [own]].filter(position => includes(reached, position))
+    return known.reduce<ReadPosition | undefined>((newest, each) => newest === undefined || each.readAt > newest.readAt ? each : newest, undefined)
   }
 
   /** When each table was last read; -Infinity where that is not known. */
@@ -218,11 +221,11 @@
     return [...this.tables.keys()].map(table => this.newestPosition(table)?.readAt ?? -Infinity)
   }
 
-  private positionsOf (table: TableName): Position[] {
+  private positionsOf (table: TableName): ReadPosition[] {
     return [...this.followedPositions.values()].flatMap(positions => positions.get(table) ?? [])
   }
 
-  private ageOfRead ({ readAt }: Position): Milliseconds {
+  private ageOfRead ({ readAt }: ReadPosition): Milliseconds {
     return Math.max(0, Math.round(this.clock.now() - readAt))
   }
 
--- a/packages/daemon/src/core/feed/feedFollower.ts
+++ b/packages/daemon/src/core/feed/feedFollower.ts
@@ -3,6 +3,7 @@
 import type { FleetMember, FleetRole } from '@cowsliplead/core/types/fleetMember.js'
 import type { TableName } from '../../types/controlStore.js'
 import type { FeedMessage } from '../../types/feedMessage.js'
+import type { TableCopy } from '../../types/feedTable.js'
 import type { Logger } from '../operators/logger.js'
 import type { ChangeFeed } from './changeFeed.js'
 import { FeedConnection, type FeedConnectionObserver, type DisconnectReason } from './feedConnection.js'
@@ -102,8 +103,8 @@
     const { feed } = this.options
     switch (message.kind) {
       case 'positions': return feed.receivePositions(vmId, message.tables)
-      case 'changes': return feed.receiveChanges(message.table, { from: message.from, records: decodeFeedRecords(message.records) })
-      case 'copy': return feed.receiveCopy(message.table, { ...message.position, records: decodeFeedRecords(message.records) })
+      case 'changes': return feed.receiveChanges(message.table, { epoch: message.epoch, from: message.from, records: decodeFeedRecords(message.records) })
+      case 'copy': return feed.receiveCopy(message.table, decodeCopy(message))
       case 'declined': return feed.receiveDecline(message.table)
     }
   }
@@ -154,3 +155,7 @@
     feed.setRole(role)
   }
 }
+
+function decodeCopy ({ position: { epoch, end, ageMs }, records }: Extract<FeedMessage, { kind: 'copy' }>): TableCopy {
+  return { position: { epoch, offset: end }, ageMs, records: decodeFeedRecords(records) }
+}
--- a/packages/daemon/src/core/feed/feedServer.ts
+++ b/packages/daemon/src/core/feed/feedServer.ts
@@ -86,9 +86,9 @@
     this.server?.close()
   }
 
-  onChanges (table: TableName, { from, records }: OffsetChanges): void {
+  onChanges (table: TableName, { epoch, from, records }: OffsetChanges): void {
     if (bytesOf(records) * this.followers > MAX_SENT_BYTES) return
-    this.broadcast({ kind: 'changes', table, from, records: encodeFeedRecords(records) })
+    this.broadcast({ kind: 'changes', table, epoch, from, records: encodeFeedRecords(records) })
   }
 
   onPosition (): void {
@@ -140,7 +140,8 @@
     const copy = this.options.feed.copyOf(table)
     if (copy === undefined) return undefined
     if (this.backlogBytes() + bytesOf(copy.records) > MAX_SENT_BYTES) return { kind: 'declined', table }
-    return { kind: 'copy', table, position: { end: copy.end, ageMs: copy.ageMs }, records: encodeFeedRecords(copy.records) }
+    const { epoch, offset } = copy.position
+    return { kind: 'copy', table, position: { epoch, end: offset, ageMs: copy.ageMs }, records: encodeFeedRecords(copy.records) }
   }
 
   private backlogBytes (): number {
--- a/packages/daemon/src/types/controlStore.ts
+++ b/packages/daemon/src/types/controlStore.ts
@@ -21,6 +21,13 @@
  */
 export type StoreEpoch = number
 
+/** How far a table was read. */
+export interface TablePosition {
+  readonly epoch: StoreEpoch
+  /** Offset of the next change. */
+  readonly offset: number
+}
+
 /**
  * Page of a table. Pages that are read one after the other are not a consistent snapshot: changes from the first page's
  * `end` on have to be applied to them.
--- a/packages/daemon/src/types/feedMessage.ts
+++ b/packages/daemon/src/types/feedMessage.ts
@@ -2,7 +2,11 @@
 
 const TABLE = z.enum(['configuration', 'upstreams', 'fleet'])
 
+/** Daemons of earlier versions send no epoch. */
+const EPOCH = z.number().int().nonnegative().default(0)
+
 const POSITION = z.object({
+  epoch: EPOCH,
   /** Offset of the next change. */
   end: z.number().int().nonnegative(),
   /** Time since the store last answered a read of the table, in milliseconds. */
@@ -18,6 +22,7 @@
   z.object({
     kind: z.literal('changes'),
     table: TABLE,
+    epoch: EPOCH,
     /** Offset of the first change. */
     from: z.number().int().nonnegative(),
     records: RECORDS
--- a/packages/daemon/src/types/feedTable.ts
+++ b/packages/daemon/src/types/feedTable.ts
@@ -1,16 +1,17 @@
 import type { Milliseconds } from '@cowsliplead/core/types/clock.js'
-import type { TableName, TableRecord } from './controlStore.js'
+import type { StoreEpoch, TableName, TablePosition, TableRecord } from './controlStore.js'
 
 /** Consecutive changes of a table, the first of them at offset `from`. */
 export interface OffsetChanges {
+  readonly epoch: StoreEpoch
   readonly from: number
   readonly records: readonly TableRecord[]
 }
 
-/** All records of a table up to an offset, and the time since the store was known to hold nothing newer. */
+/** All records of a table up to a position, and the time since the store was known to hold nothing newer. */
 export interface TableCopy {
   readonly records: readonly TableRecord[]
-  readonly end: number
+  readonly position: TablePosition
   readonly ageMs: Milliseconds
 }
 
@@ -18,7 +19,7 @@
 export interface FeedTable {
   readonly table: TableName
   /** Position up to which the copy is complete; undefined while there is none. */
-  readonly offset: number | undefined
+  readonly position: TablePosition | undefined
   /** Whether the copy may be taken from another VM. */
   readonly needsCopy: boolean
   records (): readonly TableRecord[]
