Do not use an upstream again that left before the control store was restored

An upstream that had left was in use again once the store came back from a copy with its entry (restoredStore.test.ts: u1 listed again on all five VMs; the directory's test failed the same way). Cause: the directory forgot an upstream with its removal, so any entry of it counted as a new upstream. It remembers the incarnation and the heartbeat of removed upstreams for ten minutes, and ignores entries that are not newer. A later heartbeat or a new start is taken as before, so upstreams that lapsed wrongly come back.

--- a/packages/core/__tests__/upstreamDirectory.test.ts
+++ b/packages/core/__tests__/upstreamDirectory.test.ts
@@ -101,3 +101,34 @@
     expect(directory.remove('u1', 1000)).to.equal('removed')
   })
 })
+
+describe('upstreams in a store that is restored from a copy', () => {
+  // Guards against calls to an upstream that has left, after the copy has brought its entry back.
+  it('are not used again after they have left', () => {
+    const directory = createDirectory()
+    directory.remove('u1', 10)
+    directory.onStoreRecovered(20)
+    directory.replaceAll([entry(), entry({ id: 'u2', sequence: 1 })], 20)
+    expect(directory.list().map(({ id }) => id)).to.deep.equal(['u2'])
+    expect(directory.isOutdated(entry())).to.equal(true)
+    expect(directory.isOutdated(entry({ incarnation: 99, sequence: 9 }))).to.equal(true)
+  })
+
+  // Guards against an upstream that lapsed during an outage, or started again, and stays unused although it is alive.
+  for (const [name, renewed] of [['a later heartbeat', entry({ sequence: 6 })], ['a new incarnation', entry({ incarnation: 101, sequence: 0 })]] as const) {
+    it(`are used again after ${name}`, () => {
+      const directory = createDirectory()
+      directory.remove('u1', 10)
+      expect(directory.isOutdated(renewed)).to.equal(false)
+      expect(directory.put(renewed, 20)).to.equal('added')
+    })
+  }
+
+  it('are forgotten some time after they have left', () => {
+    const directory = createDirectory()
+    directory.remove('u1', 0)
+    directory.put(entry({ id: 'u2' }), 3_600_000)
+    directory.remove('u2', 3_600_000)
+    expect(directory.put(entry(), 3_600_000)).to.equal('added')
+  })
+})
--- a/packages/core/src/core/membership/upstreamDirectory.ts
+++ b/packages/core/src/core/membership/upstreamDirectory.ts
@@ -9,6 +9,18 @@
   missingSince: Milliseconds | undefined
 }
 
+/** The last known state of an upstream that was removed. */
+interface RemovedUpstream {
+  readonly entry: UpstreamEntry
+  readonly removedAt: Milliseconds
+}
+
+/** How long removed upstreams are remembered; far longer than the age of a copy from which the store is restored. */
+const REMOVED_KEPT_MS: Milliseconds = 600_000
+
+/** Incarnation of entries that do not state when the upstream started. */
+const UNKNOWN_INCARNATION = 0
+
 /** Options of an upstream directory. */
 export interface UpstreamDirectoryOptions {
   /** Time after the store's recovery within which live upstreams renew entries that lapsed during the outage. */
@@ -20,11 +32,14 @@
 
 /**
  * The upstreams according to their entries in the control store. Entries of an older incarnation, or of an earlier
- * heartbeat of the same incarnation, are ignored, because writes may be applied late. Entries that lapse while the store
- * is unreachable are kept until live upstreams have had time to renew them.
+ * heartbeat of the same incarnation, are ignored, because writes may be applied late and a store that is restored from a
+ * copy has old entries, also of upstreams that have left. Entries that lapse while the store is unreachable are kept
+ * until live upstreams have had time to renew them.
  */
 export class UpstreamDirectory {
   private readonly known = new Map<string, KnownUpstream>()
+  /** In order of removal. */
+  private readonly removed = new Map<string, RemovedUpstream>()
   private holdUntil: Milliseconds = -Infinity
   private cachedList: readonly Upstream[] | undefined
 
@@ -52,8 +67,9 @@
 
   /** Handles a written entry. */
   put (entry: UpstreamEntry, now: Milliseconds): DirectoryChange {
+    if (this.isOutdated(entry)) return 'ignored'
     const known = this.known.get(entry.id)
-    if (known !== undefined && isOlder(entry, known.entry)) return 'ignored'
+    this.removed.delete(entry.id)
     const change = classifyChange(known, entry)
     const warmAt = change === 'renewed' ? (known as KnownUpstream).warmAt : now + entry.warmupLeftMs
     this.known.set(entry.id, { entry, warmAt, missingSince: undefined })
@@ -61,6 +77,14 @@
     return change
   }
 
+  /** Whether the entry is older than what is known of the upstream, or the upstream has left since. */
+  isOutdated (entry: UpstreamEntry): boolean {
+    const known = this.known.get(entry.id)
+    if (known !== undefined) return isOlder(entry, known.entry)
+    const last = this.removed.get(entry.id)?.entry
+    return last !== undefined && !isNewer(entry, last)
+  }
+
   /** Handles the removal of an entry, or its replacement by one that describes no upstream. */
   remove (id: string, now: Milliseconds): DirectoryChange {
     const known = this.known.get(id)
@@ -69,8 +93,7 @@
       known.missingSince ??= now
       return 'held'
     }
-    this.known.delete(id)
-    this.cachedList = undefined
+    this.delete(id, known.entry, now)
     return 'removed'
   }
 
@@ -91,13 +114,28 @@
   /** Removes upstreams that did not renew their entries in time. Returns their ids. */
   expire (now: Milliseconds): string[] {
     if (now < this.holdUntil) return []
-    const expiredIds = [...this.known].filter(([, known]) => known.missingSince !== undefined).map(([id]) => id)
-    for (const id of expiredIds) this.known.delete(id)
-    if (expiredIds.length > 0) this.cachedList = undefined
-    return expiredIds
+    const expired = [...this.known].filter(([, known]) => known.missingSince !== undefined)
+    for (const [id, { entry }] of expired) this.delete(id, entry, now)
+    return expired.map(([id]) => id)
+  }
+
+  private delete (id: string, entry: UpstreamEntry, now: Milliseconds): void {
+    this.known.delete(id)
+    this.cachedList = undefined
+    for (const [removedId, { removedAt }] of this.removed) {
+      if (removedAt >= now - REMOVED_KEPT_MS) break
+      this.removed.delete(removedId)
+    }
+    this.removed.set(id, { entry, removedAt: now })
   }
 }
 
+/** Whether the entry was written after `last`, by the same process or a later one; assumed where no start is stated. */
+function isNewer (entry: UpstreamEntry, last: UpstreamEntry): boolean {
+  if (entry.incarnation === UNKNOWN_INCARNATION) return true
+  return entry.incarnation === last.incarnation ? entry.sequence > last.sequence : entry.incarnation > last.incarnation
+}
+
 function isOlder (entry: UpstreamEntry, known: UpstreamEntry): boolean {
   if (entry.incarnation !== known.incarnation) return entry.incarnation < known.incarnation
   if (entry.sequence !== known.sequence) return entry.sequence < known.sequence
