Hold upstreams that a restored control store has lost until they can register again

Upstreams that had registered after the copy were dropped at once when the store was restored while a VM was not waiting for it (restoredStore.test.ts: no upstream left on five VMs), so callers got 503 until the entries were written again. Cause: only an outage that the VM has noticed starts the renewal period. A change of the epoch starts it as well.

--- a/packages/daemon/src/core/control/controlState.ts
+++ b/packages/daemon/src/core/control/controlState.ts
@@ -120,6 +120,11 @@
         outageLog.onRecovery()
         this.directory.onStoreRecovered(clock.now())
       },
+      // Upstreams that registered after the copy write their entries again.
+      onRestore: restore => {
+        outageLog.onRestore(restore)
+        this.directory.onStoreRecovered(clock.now())
+      },
       onSnapshot: records => this.replaceUpstreams(records),
       onChanges: records => {
         const changes = records.map(record => this.applyUpstreamRecord(record))
