Give VMs that start what the others know, not older records of a restored store

A VM that started after a restore took version 1 of the configuration and an upstream that had left, while the other VMs had version 2 in force and the upstream removed (restoredStore.test.ts, both tests failed). Cause: readers replaced their copy of a table, which VMs that start take from them, by the restored store's records, although their consumers ignored these. Records that are older than what the consumer knows no longer replace the newer ones.

--- a/packages/daemon/__tests__/feed.test.ts
+++ b/packages/daemon/__tests__/feed.test.ts
@@ -81,7 +81,7 @@
     }
     const reader = TableReader.create({
       store, clock, feed, table: 'upstreams', waitMs: READ_WAIT_MS, pauseMs: 0, maxFeedAgeMs: MAX_FEED_AGE_MS, startsFromCopy,
-      consumer: { onSnapshot: appendRecords, onChanges: appendRecords, onRecovery: () => void (this.recoveredAt = performance.now()), onRestore: () => {}, onFailure: () => {} }
+      consumer: { isOutdated: () => false, onSnapshot: appendRecords, onChanges: appendRecords, onRecovery: () => void (this.recoveredAt = performance.now()), onRestore: () => {}, onFailure: () => {} }
     })
     this.components = [server, table.reader, reader]
   }
--- a/packages/daemon/__tests__/tableReader.test.ts
+++ b/packages/daemon/__tests__/tableReader.test.ts
@@ -51,6 +51,7 @@
   const store = new ScriptedStore(steps)
   const events: string[] = []
   const consumer: TableConsumer = {
+    isOutdated: () => false,
     onSnapshot: records => events.push(`snapshot ${records.map(({ key }) => key).join()}`),
     onChanges: records => events.push(`changes ${records.map(({ key }) => key).join()}`),
     onRecovery: () => events.push('return'),
--- a/packages/daemon/src/core/control/controlState.ts
+++ b/packages/daemon/src/core/control/controlState.ts
@@ -108,7 +108,12 @@
 
   private createConfigConsumer (): TableConsumer {
     const applyRecords = (records: readonly TableRecord[]): void => records.forEach(record => this.applyConfigRecord(record))
-    return { ...logStoreOutages(this.options.logger, 'configuration'), onSnapshot: applyRecords, onChanges: applyRecords }
+    return {
+      ...logStoreOutages(this.options.logger, 'configuration'),
+      isOutdated: record => this.isOutdatedConfig(record),
+      onSnapshot: applyRecords,
+      onChanges: applyRecords
+    }
   }
 
   private createUpstreamConsumer (): TableConsumer {
@@ -116,6 +121,7 @@
     const outageLog = logStoreOutages(logger, 'upstreams')
     return {
       ...outageLog,
+      isOutdated: record => this.isOutdatedUpstream(record),
       onRecovery: () => {
         outageLog.onRecovery()
         this.directory.onStoreRecovered(clock.now())
@@ -134,6 +140,17 @@
     }
   }
 
+  private isOutdatedConfig (record: TableRecord): boolean {
+    const { store, services: { config: inForce } } = this.options
+    const config = record.key === CONFIGURATION_KEY ? store.decodeRoutes(record) : undefined
+    return config !== undefined && inForce !== undefined && config.version < inForce.version
+  }
+
+  private isOutdatedUpstream (record: TableRecord): boolean {
+    const entry = this.options.store.decodeUpstream(record)
+    return entry !== undefined && this.directory.isOutdated(entry)
+  }
+
   private applyConfigRecord (record: TableRecord): void {
     if (record.key !== CONFIGURATION_KEY) return
     const { store, services, logger } = this.options
--- a/packages/daemon/src/core/control/fleetTable.ts
+++ b/packages/daemon/src/core/control/fleetTable.ts
@@ -54,6 +54,8 @@
   private createConsumer (): TableConsumer {
     return {
       ...logStoreOutages(this.options.logger, 'fleet'),
+      // VMs that start read this table from the store, not from a copy.
+      isOutdated: () => false,
       onSnapshot: records => {
         this.isLoaded = true
         this.forEachGroup(records, (consumer, group) => consumer.onSnapshot(group))
--- a/packages/daemon/src/core/control/tableReader.ts
+++ b/packages/daemon/src/core/control/tableReader.ts
@@ -22,6 +22,8 @@
 
 /** Receives the content of a table. */
 export interface TableConsumer {
+  /** Whether a record is older than what the consumer knows of its key, as in a store that is restored from a copy. */
+  isOutdated (record: TableRecord): boolean
   /** All records of the table. */
   onSnapshot (records: readonly TableRecord[]): void
   /** Changes in order, after a snapshot. */
@@ -206,12 +208,24 @@
   private replace ({ records, position }: TableSnapshot): void {
     const previous = this.lastPosition
     if (previous !== undefined && previous.epoch !== position.epoch) this.notifyOfRestore(previous, position)
+    const newest = this.newestOf(records)
     this.newestRecords.clear()
-    this.keepNewest(records)
-    this.options.consumer.onSnapshot(records)
+    this.keepNewest(newest)
+    this.options.consumer.onSnapshot(newest)
     this.moveTo(position)
   }
 
+  /**
+   * The records of a snapshot, with what was known before in place of outdated ones: VMs that start take this copy, and
+   * must not get older records than the others have in force.
+   */
+  private newestOf (records: readonly TableRecord[]): TableRecord[] {
+    const { consumer } = this.options
+    return records
+      .map(record => consumer.isOutdated(record) ? { key: record.key, value: this.newestRecords.get(record.key) } : record)
+      .filter(({ value }) => value !== undefined)
+  }
+
   private notifyOfRestore ({ epoch: previousEpoch, offset }: TablePosition, { epoch }: TablePosition): void {
     this.options.consumer.onRestore({ epoch, previousEpoch, offset })
   }
