Write the policy in force again after the control store has lost it

A policy that operators had published with a confirmation was gone after a restore: a VM that started had revision 1 in force and the others 2 (restoredStore.test.ts). The platform's operator and the upstreams write their records again, but nobody wrote this one.

--- a/packages/daemon/src/core/control/policyPublisher.ts
+++ b/packages/daemon/src/core/control/policyPublisher.ts
@@ -66,6 +66,26 @@
     return mayBeApplied ? { kind: 'unconfirmed' } : { kind: 'unavailable', failure }
   }
 
+  /** Writes a record again that the store has lost, with retries; `present` if the store has it or a newer one. */
+  async restore (record: PolicyRecord): Promise<StoreResult<'written' | 'present'>> {
+    const { store, clock, timeoutMs } = this.options
+    const deadline = clock.now() + timeoutMs
+    let failure: StoreFailure = 'unanswered'
+    while (clock.now() < deadline) {
+      const newest = await this.readNewest()
+      if (newest.isOk && (newest.value.record?.revision ?? 0) >= record.revision) return Result.ok('present')
+      const records = [{ key: POLICY_KEY, value: encodePolicyRecord(record) }]
+      const written = await newest.match({
+        Ok: ({ end }) => store.put('fleet', records, end),
+        Err: async error => Result.err<void, StoreFailure>(error)
+      })
+      if (written.isOk) return Result.ok('written')
+      failure = written.error
+      await sleep(RETRY_MS)
+    }
+    return Result.err(failure)
+  }
+
   private async tryOnce (change: PolicyChange): Promise<Result<ChangeOutcome, { readonly isWrite: boolean, readonly failure: StoreFailure }>> {
     const newest = await this.readNewest()
     if (newest.isErr) return Result.err({ isWrite: false, failure: newest.error })
--- a/packages/daemon/src/core/control/policyState.ts
+++ b/packages/daemon/src/core/control/policyState.ts
@@ -4,6 +4,7 @@
 import type { TableRecord } from '../../types/controlStore.js'
 import type { Logger } from '../operators/logger.js'
 import type { FleetRecordConsumer } from './fleetTable.js'
+import type { PolicyRestorer } from './policyRestorer.js'
 
 /** Key of the policy record in the fleet table. */
 export const POLICY_KEY = 'policy'
@@ -13,12 +14,15 @@
   readonly logger: Logger
   /** Called with each document that comes into force. */
   readonly onDocument: (document: PolicyDocument) => void
+  /** Notified of whether the store still has the record in force. */
+  readonly restorer: Pick<PolicyRestorer, 'onLost' | 'onPresent'>
 }
 
 /** The operators' policy document in force on this VM. Its revision never decreases. */
 export class PolicyState implements FleetRecordConsumer {
   /** 0 until a document is in force. */
   revision = 0
+  private inForce: PolicyRecord | undefined
 
   private constructor (private readonly options: PolicyStateOptions) {}
 
@@ -28,6 +32,10 @@
 
   onSnapshot (records: readonly TableRecord[]): void {
     this.onChanges(records)
+    const stored = records.find(({ key }) => key === POLICY_KEY)?.value
+    const storedRevision = stored === undefined ? 0 : decodePolicyRecord(stored)?.revision
+    // An unreadable record belongs to a newer version of the daemon.
+    if (this.inForce !== undefined && storedRevision !== undefined && storedRevision < this.revision) this.options.restorer.onLost(this.inForce)
   }
 
   onChanges (records: readonly TableRecord[]): void {
@@ -38,11 +46,13 @@
     if (key !== POLICY_KEY || value === undefined) return
     const record = decodePolicyRecord(value)
     if (record === undefined) return void this.options.logger.warn('policy record cannot be read', { bytes: value.length })
+    if (record.revision >= this.revision) this.options.restorer.onPresent()
     if (record.revision > this.revision) this.apply(record)
   }
 
   /** A document that this version of the daemon cannot read is skipped; the previous one stays in force. */
-  private apply ({ revision, document, changes }: PolicyRecord): void {
+  private apply (record: PolicyRecord): void {
+    const { revision, document, changes } = record
     const { logger, onDocument } = this.options
     const parsed = policyDocumentSchema.safeParse(document)
     if (!parsed.success) {
@@ -51,6 +61,7 @@
     }
     const previous = this.revision
     this.revision = revision
+    this.inForce = record
     onDocument(parsed.data)
     logger.info('policy in force', { revision, previous, author: changes.at(-1)?.author, exceptions: parsed.data.exceptions.length })
   }
--- a/packages/daemon/src/core/gateway/gateway.ts
+++ b/packages/daemon/src/core/gateway/gateway.ts
@@ -16,6 +16,8 @@
 import { FleetTable } from '../control/fleetTable.js'
 import { Fleet } from '../feed/fleet.js'
 import { MEMBERS_GROUP } from '../feed/membership.js'
+import { PolicyPublisher } from '../control/policyPublisher.js'
+import { PolicyRestorer } from '../control/policyRestorer.js'
 import { PolicyState, POLICY_KEY } from '../control/policyState.js'
 import { SharedSuspects, SUSPECTS_GROUP } from '../control/sharedSuspects.js'
 import type { TableReader } from '../control/tableReader.js'
@@ -43,6 +45,9 @@
 /** Longest time after the start that the daemon waits for the policy document; it then serves with the defaults. */
 const POLICY_WAIT_MS: Milliseconds = 3000
 
+/** Longest time for which a VM tries to write the policy record again after a restore of the store. */
+const POLICY_RESTORE_TIMEOUT_MS: Milliseconds = 30_000
+
 /** Assumed number of entry VMs until the others are known: this one. */
 const INITIAL_FLEET_SIZE = 1
 
@@ -59,11 +64,13 @@
 /** Daemon of one entry VM: forwards the requests of callers to upstreams. */
 export class Gateway {
   private readonly clock = MonotonicClock.create()
+  private readonly random = SeededRandom.create(process.pid ^ Date.now())
   private readonly tickTimer = TickTimer.create(this.clock)
   private readonly eventLog: EventLog
   private readonly services: GatewayServices
   private readonly controlState: ControlState
   private readonly policyState: PolicyState
+  private readonly policyRestorer: PolicyRestorer
   private readonly sharedSuspects: SharedSuspects
   private readonly fleetTable: FleetTable
   private readonly fleet: Fleet
@@ -102,7 +109,10 @@
     this.controlState = ControlState.create({
       store, clock, services: this.services, logger, feed, renewalMs: settings.renewalMs, onConfig: () => this.callerServer.applyLimits()
     })
-    this.policyState = PolicyState.create({ logger, onDocument: document => this.services.setPolicyDocument(document) })
+    this.policyRestorer = this.createPolicyRestorer()
+    this.policyState = PolicyState.create({
+      logger, restorer: this.policyRestorer, onDocument: document => this.services.setPolicyDocument(document)
+    })
     this.sharedSuspects = SharedSuspects.create({ store, clock, logger, importMarks: marks => this.services.importSuspects(marks) })
     this.fleetTable = FleetTable.create({
       store,
@@ -221,6 +231,7 @@
     this.eventLoopMonitor.stop()
     await this.supervisor.stop()
     this.controlState.close()
+    this.policyRestorer.close()
     this.fleet.close()
     this.sharedSuspects.close()
     this.dependencies.store.close()
@@ -233,7 +244,7 @@
     const latencyHistogram = metrics.createLatencyHistogram()
     return GatewayServices.create({
       clock,
-      random: SeededRandom.create(process.pid ^ Date.now()),
+      random: this.random,
       tickTimer,
       dialect: this.dependencies.dialect,
       connectionSettings: { connectTimeoutMs: CONNECT_TIMEOUT_MS },
@@ -246,6 +257,12 @@
     })
   }
 
+  private createPolicyRestorer (): PolicyRestorer {
+    const { clock, random, eventLog: { logger }, dependencies: { store } } = this
+    const publisher = PolicyPublisher.create({ store, clock, timeoutMs: POLICY_RESTORE_TIMEOUT_MS })
+    return PolicyRestorer.create({ publisher, random, logger })
+  }
+
   private createProxy (): Proxy {
     return Proxy.create({
       clock: this.clock,
