Use the readable part of a configuration, and serve uploads at most once

Callers of one deployment got 503 for everything: one route has a kind that the schema did not know, so that the whole configuration could not be read, without a reason in the log. Entries are now checked one by one. One that cannot be read is logged with its reason, counted and shown in the status; its requests are refused as not run and never match a shorter prefix. Limits that cannot be read are replaced by defaults.

Kinds of route that may be repeated are listed now; upload is not among them. Before, each kind other than unsafe counted as idempotent.

Also prepares interfaces of the parts that follow: customers with hashed keys, warm-up rates, evacuation orders, what upstreams say in responses, and a server for requests of other VMs, which takes none yet.

--- a/packages/core/src/core/routing/routeTable.ts
+++ b/packages/core/src/core/routing/routeTable.ts
@@ -9,7 +9,8 @@
 /** The route of a request and the service that it goes to. */
 export interface RouteMatch {
   readonly route: Route
-  readonly service: string
+  /** Undefined if the route's entry cannot be used. */
+  readonly service: string | undefined
 }
 
 /** Finds the route of a request: the one for its host with the longest matching path prefix. */
@@ -38,7 +39,8 @@
     const path = pathOf(target)
     const entries = this.entriesByHost.get(hostOf(hostHeader))
     const entry = entries?.find(({ route }) => path.startsWith(route.pathPrefix))
-    return entry === undefined ? undefined : { route: entry.route, service: entry.split.next() }
+    if (entry === undefined) return undefined
+    return { route: entry.route, service: entry.route.problem === undefined ? entry.split.next() : undefined }
   }
 
   private findUnchangedSplit (route: Route): TrafficSplit | undefined {
--- a/packages/core/src/types/dispatch.ts
+++ b/packages/core/src/types/dispatch.ts
@@ -8,6 +8,8 @@
 export interface Call {
   readonly id: number
   readonly kind: RequestKind
+  /** Name of the customer; undefined if requests need no key. */
+  readonly customer?: string | undefined
   readonly arrivedAt: Milliseconds
   /** Absolute time, at most `arrivedAt` plus the kind's `deadlineMs`. */
   readonly deadlineAt: Milliseconds
--- a/packages/core/src/types/fleetMember.ts
+++ b/packages/core/src/types/fleetMember.ts
@@ -3,6 +3,8 @@
   readonly vmId: string
   /** Address at which other VMs follow this one's reads of the store. */
   readonly feedAddress: string
+  /** Address at which other VMs send requests to this one; undefined for daemons of earlier versions. */
+  readonly peerAddress?: string | undefined
   readonly failureDomain: string
 }
 
--- a/packages/core/src/types/requestKind.ts
+++ b/packages/core/src/types/requestKind.ts
@@ -5,6 +5,8 @@
   readonly name: string
   /** Priority in the wait queue; under overload, calls of lower weight are refused first. */
   readonly weight: number
+  /** 0 is the most urgent; undefined if only the weight counts. */
+  readonly priority?: number
   /** Whether running the request twice has the effect of running it once. */
   readonly idempotent: boolean
   /** Time from arrival within which the complete response is useful. */
--- a/packages/core/src/types/routes.ts
+++ b/packages/core/src/types/routes.ts
@@ -1,7 +1,11 @@
 import type { Milliseconds } from './clock.js'
+import type { Customer } from './customer.js'
 
-/** `unsafe` requests run at most once; the others are idempotent, and responses to `download` have long bodies. */
-export type RouteKind = 'safe' | 'unsafe' | 'download'
+/**
+ * `safe` and `download` requests are idempotent, and responses to `download` have long bodies; `unsafe` and `upload` requests
+ * run at most once, and `upload` requests have long bodies.
+ */
+export type RouteKind = 'safe' | 'unsafe' | 'download' | 'upload'
 
 /** A service that receives a share of a route's traffic. */
 export interface TrafficShare {
@@ -26,6 +30,10 @@
   /** Largest number of attempts per request. */
   readonly maxAttempts: number
   readonly shares: readonly TrafficShare[]
+  /** Whether requests need no key where the configuration has customers; false if undefined. */
+  readonly isPublic?: boolean
+  /** Why the route's entry cannot be used; its requests are refused as not run. */
+  readonly problem?: string
 }
 
 /** A service that routes can refer to. */
@@ -35,6 +43,15 @@
   readonly healthPath: string
   /** Connections that one upstream accepts from all VMs together. */
   readonly maxConnections: number
+  /** What one upstream takes while it is cold; undefined if that is not limited. */
+  readonly warmup?: Warmup | undefined
+}
+
+/** What an upstream takes from all VMs together while it is cold. */
+export interface Warmup {
+  /** Time after its start for which an upstream is cold. */
+  readonly durationMs: Milliseconds
+  readonly requestsPerSecond: number
 }
 
 /** Size and time limits on callers' requests and connections. */
@@ -45,10 +62,22 @@
   readonly idleTimeoutMs: Milliseconds
 }
 
+/** An entry of a configuration that cannot be used as it is written. */
+export interface RejectedEntry {
+  readonly kind: 'route' | 'service' | 'customer' | 'limits'
+  /** Name of the route, service or customer; empty for the limits. */
+  readonly name: string
+  readonly reason: string
+}
+
 /** One version of the routes; a higher version replaces a lower one completely. */
 export interface RouteConfig {
   readonly version: number
   readonly routes: readonly Route[]
   readonly services: ReadonlyMap<string, ServiceTarget>
   readonly limits: CallerLimits
+  /** Customers by name; undefined if the configuration has none, and requests need no key. */
+  readonly customers?: ReadonlyMap<string, Customer> | undefined
+  /** Entries that were left out or replaced by defaults. */
+  readonly rejectedEntries?: readonly RejectedEntry[]
 }
--- a/packages/daemon/__tests__/tableReader.test.ts
+++ b/packages/daemon/__tests__/tableReader.test.ts
@@ -32,7 +32,11 @@
     return Result.err('refused')
   }
 
-  decodeRoutes (): undefined {}
+  decodeRoutes (): never {
+    throw new Error('not used')
+  }
+
+  decodeEvacuation (): undefined {}
 
   decodeUpstream (): undefined {}
 
--- a/packages/daemon/src/core/control/controlState.ts
+++ b/packages/daemon/src/core/control/controlState.ts
@@ -29,6 +29,9 @@
 
 const MIN_TIMER_MS: Milliseconds = 1
 
+/** A configuration may have thousands of entries. */
+const MAX_LOGGED_ENTRIES = 20
+
 /** Receives the configuration and the upstreams that are read from the control store. */
 export interface ControlTarget {
   /** The configuration in force; undefined before the first one. */
@@ -54,6 +57,8 @@
   private readonly directory: UpstreamDirectory
   private readonly configReader: TableReader
   private readonly upstreamReader: TableReader
+  /** Records of the configuration that could not be used at all. */
+  unreadableConfigs = 0
   private hasReadUpstreams = false
   private expiryTimer: NodeJS.Timeout | undefined
 
@@ -142,8 +147,8 @@
 
   private isOutdatedConfig (record: TableRecord): boolean {
     const { store, services: { config: inForce } } = this.options
-    const config = record.key === CONFIGURATION_KEY ? store.decodeRoutes(record) : undefined
-    return config !== undefined && inForce !== undefined && config.version < inForce.version
+    if (record.key !== CONFIGURATION_KEY || inForce === undefined) return false
+    return store.decodeRoutes(record).mapOr(false, ({ version }) => version < inForce.version)
   }
 
   private isOutdatedUpstream (record: TableRecord): boolean {
@@ -153,20 +158,27 @@
 
   private applyConfigRecord (record: TableRecord): void {
     if (record.key !== CONFIGURATION_KEY) return
-    const { store, services, logger } = this.options
-    const config = store.decodeRoutes(record)
-    if (config === undefined) return void logger.warn('configuration cannot be read', { bytes: record.value?.length })
+    const { store, services } = this.options
+    const decoded = store.decodeRoutes(record)
+    if (decoded.isErr) return this.onUnreadableConfig(record, decoded.error)
+    const config = decoded.value
     const inForce = services.config?.version
     // A read may return an older version than the one in force, for instance a snapshot taken before the latest change.
     if (inForce !== undefined && config.version <= inForce) return
     this.applyConfig(config, inForce)
   }
 
+  private onUnreadableConfig ({ value }: TableRecord, reason: string): void {
+    this.unreadableConfigs += 1
+    this.options.logger.warn('configuration cannot be read', { bytes: value?.length, reason })
+  }
+
   private applyConfig (config: RouteConfig, previous: number | undefined): void {
     const { services, logger, onConfig } = this.options
     services.setConfig(config)
     onConfig()
-    logger.info('configuration in force', { version: config.version, previous, routes: config.routes.length, services: config.services.size })
+    logger.info('configuration in force', { version: config.version, previous, routes: config.routes.length, services: config.services.size, customers: config.customers?.size })
+    logRejectedEntries(config, logger)
   }
 
   private replaceUpstreams (records: readonly TableRecord[]): void {
@@ -212,3 +224,8 @@
     this.expiryTimer = setTimeout(() => this.updateUpstreams(), delayMs)
   }
 }
+
+function logRejectedEntries ({ version, rejectedEntries = [] }: RouteConfig, logger: Logger): void {
+  for (const entry of rejectedEntries.slice(0, MAX_LOGGED_ENTRIES)) logger.warn('configuration entry cannot be used', { version, entry })
+  if (rejectedEntries.length > MAX_LOGGED_ENTRIES) logger.warn('further configuration entries cannot be used', { version, count: rejectedEntries.length - MAX_LOGGED_ENTRIES })
+}
--- a/packages/daemon/src/core/feed/fleet.ts
+++ b/packages/daemon/src/core/feed/fleet.ts
@@ -16,6 +16,8 @@
   readonly failureDomain: string
   /** IP address and port that the other VMs connect to. */
   readonly address: string
+  /** Address at which this VM takes requests of the others; undefined if it takes none. */
+  readonly peerAddress?: () => string | undefined
   readonly store: ControlStore
   readonly clock: Clock
   readonly logger: Logger
@@ -42,7 +44,7 @@
   readonly members: FleetMembers
   private readonly follower: FeedFollower
 
-  private constructor ({ vmId, members, failureDomain, address, store, clock, logger, onSizeChange }: FleetOptions) {
+  private constructor ({ vmId, members, failureDomain, address, peerAddress, store, clock, logger, onSizeChange }: FleetOptions) {
     const feed = ChangeFeed.create(clock)
     this.members = members
     this.feed = feed
@@ -52,7 +54,7 @@
       store,
       members,
       logger,
-      ownMember: () => ({ vmId, feedAddress: this.server.address, failureDomain }),
+      ownMember: () => ({ vmId, feedAddress: this.server.address, peerAddress: peerAddress?.(), failureDomain }),
       onChange: () => {
         onSizeChange(members.count)
         this.follower.reconcile()
--- a/packages/daemon/src/core/feed/membership.ts
+++ b/packages/daemon/src/core/feed/membership.ts
@@ -14,6 +14,7 @@
 
 const RECORD = z.object({
   feedAddress: z.string().refine(address => URL.canParse(`ws://${address}`)),
+  peerAddress: z.string().refine(address => URL.canParse(`http://${address}`)).optional(),
   failureDomain: z.string().default('')
 })
 
@@ -101,9 +102,9 @@
   /** Whether the table contains this VM as it is now. */
   private isAnnounced (): boolean {
     const { members, ownMember } = this.options
-    const { vmId, feedAddress, failureDomain } = ownMember()
+    const { vmId, feedAddress, peerAddress, failureDomain } = ownMember()
     const known = members.get(vmId)
-    return known?.feedAddress === feedAddress && known.failureDomain === failureDomain
+    return known?.feedAddress === feedAddress && known.peerAddress === peerAddress && known.failureDomain === failureDomain
   }
 }
 
--- a/packages/daemon/src/core/gateway/gateway.ts
+++ b/packages/daemon/src/core/gateway/gateway.ts
@@ -16,6 +16,7 @@
 import { FleetTable } from '../control/fleetTable.js'
 import { Fleet } from '../feed/fleet.js'
 import { MEMBERS_GROUP } from '../feed/membership.js'
+import { PeerServer } from '../peers/peerServer.js'
 import { PolicyPublisher } from '../control/policyPublisher.js'
 import { PolicyRestorer } from '../control/policyRestorer.js'
 import { PolicyState, POLICY_KEY } from '../control/policyState.js'
@@ -74,6 +75,8 @@
   private readonly sharedSuspects: SharedSuspects
   private readonly fleetTable: FleetTable
   private readonly fleet: Fleet
+  /** Undefined if this VM takes no requests of the others. */
+  private readonly peerServer: PeerServer | undefined
   private readonly proxy: Proxy
   private readonly callerServer: CallerServer
   private readonly readinessServer: ReadinessServer
@@ -100,6 +103,7 @@
       members,
       failureDomain: settings.failureDomain,
       address: settings.feedAddress,
+      peerAddress: () => this.peerServer?.address,
       store,
       clock,
       logger,
@@ -122,6 +126,7 @@
       consumers: { [POLICY_KEY]: this.policyState, [SUSPECTS_GROUP]: this.sharedSuspects, [MEMBERS_GROUP]: membership }
     })
     this.proxy = this.createProxy()
+    this.peerServer = this.createPeerServer()
     this.callerServer = CallerServer.create({
       address: settings.publicAddress, proxy: this.proxy, limits: () => this.services.config?.limits
     })
@@ -204,6 +209,7 @@
       reasons,
       policyRevision: this.policyState.revision,
       configVersion: this.services.config?.version,
+      rejectedEntries: this.services.config?.rejectedEntries?.map(entry => ({ ...entry })),
       storeAgeMs: this.controlState.storeAgeMs,
       callsInFlight: this.proxy.inFlight,
       components: this.supervisor.componentStates()
@@ -223,7 +229,8 @@
 
   /** All supervised components, in the order in which they start. */
   private components (): readonly Component[] {
-    return [this.fleet.server, ...this.tableReaders(), this.callerServer, this.readinessServer, this.adminServer]
+    const peerServers = this.peerServer === undefined ? [] : [this.peerServer]
+    return [this.fleet.server, ...peerServers, ...this.tableReaders(), this.callerServer, this.readinessServer, this.adminServer]
   }
 
   private async releaseResources (): Promise<void> {
@@ -277,6 +284,18 @@
     })
   }
 
+  private createPeerServer (): PeerServer | undefined {
+    const { peerAddress } = this.settings
+    const { logger } = this.eventLog
+    return peerAddress === undefined
+      ? undefined
+      : PeerServer.create({
+          address: peerAddress,
+          handlers: {},
+          onError: error => logger.error('internal error while handling a request of another VM', { error: error.stack })
+        })
+  }
+
   private createSupervisor (): Supervisor {
     const { logger } = this.eventLog
     return Supervisor.create(this.clock, SYSTEM_TIMERS, {
@@ -291,6 +310,8 @@
     return Metrics.create({
       forwarders: () => this.services.forwarders(),
       configVersion: () => this.services.config?.version ?? 0,
+      rejectedEntries: () => this.services.config?.rejectedEntries?.length ?? 0,
+      unreadableConfigs: () => this.controlState.unreadableConfigs,
       policyRevision: () => this.policyState.revision,
       isReady: () => this.unreadyReasons().length === 0,
       callsInFlight: () => this.proxy.inFlight,
--- a/packages/daemon/src/core/gateway/gatewayServices.ts
+++ b/packages/daemon/src/core/gateway/gatewayServices.ts
@@ -114,6 +114,7 @@
     if (headBytesOf(request) > this.routeTable.config.limits.maxHeaderBytes) return 'headTooLarge'
     const match = this.routeTable.match(request.headers.host ?? '', request.url as string)
     if (match === undefined) return 'noService'
+    if (match.service === undefined) return 'routeUnavailable'
     const forwarder = this.forwardersByService.get(match.service)
     if (forwarder === undefined) return 'noUpstream'
     return { forwarder, kind: this.kindsByRoute.get(match.route) as RequestKind }
--- a/packages/daemon/src/core/operators/metrics.ts
+++ b/packages/daemon/src/core/operators/metrics.ts
@@ -8,6 +8,10 @@
 export interface MetricsSource {
   forwarders (): readonly ServiceForwarder[]
   configVersion (): number
+  /** Entries of the configuration in force that cannot be used. */
+  rejectedEntries (): number
+  /** Configurations since the start that could not be used at all. */
+  unreadableConfigs (): number
   isReady (): boolean
   policyRevision (): number
   /** Event-loop stalls since the start. */
@@ -42,6 +46,8 @@
     this.addServiceGauge('cowsliplead_draining_upstreams', 'Draining upstreams, which receive no new calls', forwarder => countUpstreams(forwarder, 'draining'))
     this.addServiceGauge('cowsliplead_rate_limited_upstreams', 'Upstreams that name a request rate', countRateLimited)
     this.addGauge('cowsliplead_config_revision', 'Version of the configuration in force', () => source.configVersion())
+    this.addGauge('cowsliplead_rejected_config_entries', 'Entries of the configuration in force that cannot be used', () => source.rejectedEntries())
+    this.addGauge('cowsliplead_unreadable_configs', 'Configurations since the start that could not be used at all', () => source.unreadableConfigs())
     this.addGauge('cowsliplead_ready', '1 if the daemon is ready, 0 otherwise', () => source.isReady() ? 1 : 0)
     this.addGauge('cowsliplead_calls_in_flight', 'Requests of callers in flight', () => source.callsInFlight())
     this.addGauge('cowsliplead_policy_revision', 'Revision of the policy document in force', () => source.policyRevision())
--- a/packages/daemon/src/core/productDialect.ts
+++ b/packages/daemon/src/core/productDialect.ts
@@ -1,7 +1,7 @@
 import type { IncomingHttpHeaders } from 'node:http'
 import type { Milliseconds } from '@cowsliplead/core/types/clock.js'
 import type { AttemptHeaders, AttemptMetadata, Dialect, ResponseMetadata } from '../types/dialect.js'
-import { CODE_HEADER, DEADLINE_HEADER, findHeader, keepAliveMs, LOAD_REPORT_HEADER, NOT_RUN_HEADER, REQUEST_ID_HEADER, REQUEST_RATE_HEADER, TIMEOUT_HEADER } from '../utils/headers.js'
+import { AUTHORIZATION_HEADER, bearerToken, CODE_HEADER, CUSTOMER_HEADER, DEADLINE_HEADER, findHeader, keepAliveMs, LOAD_REPORT_HEADER, NOT_RUN_HEADER, REQUEST_ID_HEADER, REQUEST_RATE_HEADER, TIMEOUT_HEADER } from '../utils/headers.js'
 import { parseLoadReport } from '../utils/loadReport.js'
 import { parseRateNotice } from '../utils/rateNotice.js'
 
@@ -14,6 +14,7 @@
   readonly strippedResponseHeaders = new Set([REQUEST_ID_HEADER, LOAD_REPORT_HEADER, NOT_RUN_HEADER, CODE_HEADER, REQUEST_RATE_HEADER])
   /** The connections of a crashed process also close in an orderly way. */
   readonly acceptsCloseDelimited = false
+  readonly credentialHeaders = new Set([AUTHORIZATION_HEADER, CUSTOMER_HEADER])
   readonly forwardsCallerIds = false
 
   private constructor (private readonly wallClock: WallClock) {}
@@ -33,6 +34,14 @@
     return Math.min(absolute - this.wallClock(), relative ?? Infinity)
   }
 
+  credential (headers: IncomingHttpHeaders): string | undefined {
+    return bearerToken(headers.authorization)
+  }
+
+  customerHeaders (name: string): readonly string[] {
+    return [CUSTOMER_HEADER, name]
+  }
+
   attemptHeaders ({ requestId, attemptNumber, deadlineAt, now }: AttemptMetadata): AttemptHeaders {
     const echoedId = `${requestId}.${attemptNumber}`
     const timeLeftMs = Math.max(deadlineAt - now, 0)
@@ -51,7 +60,10 @@
       isFromOtherUpstream: false,
       report: parseLoadReport(findHeader(rawHeaders, LOAD_REPORT_HEADER), now),
       rateNotice: parseRateNotice(findHeader(rawHeaders, REQUEST_RATE_HEADER)),
-      idleTimeoutMs: keepAliveMs(rawHeaders)
+      idleTimeoutMs: keepAliveMs(rawHeaders),
+      isLeaving: false,
+      retryAfterMs: undefined,
+      warmupLeftMs: undefined
     }
   }
 
--- a/packages/daemon/src/testing/memoryStore.ts
+++ b/packages/daemon/src/testing/memoryStore.ts
@@ -1,16 +1,21 @@
 import { Result } from 'true-myth/result'
+import type { Customer } from '@cowsliplead/core/types/customer.js'
 import type { Route, RouteConfig, ServiceTarget } from '@cowsliplead/core/types/routes.js'
 import type { UpstreamEntry } from '@cowsliplead/core/types/upstreamEntry.js'
-import type { ControlStore, StoreFailure, StoreResult, TableChanges, TableName, TablePage, TableRecord } from '../types/controlStore.js'
+import type { ControlStore, Evacuation, StoreFailure, StoreResult, TableChanges, TableName, TablePage, TableRecord } from '../types/controlStore.js'
 import { sleep } from '../utils/sleep.js'
 
 /** Limit of a read's wait, so that tests do not wait for a daemon that reads an unchanged table. */
 const LONGEST_WAIT_MS = 20
 const POLL_MS = 2
 
+/** Prefix of the keys of evacuation orders. */
+const EVACUATION_PREFIX = 'evacuation/'
+
 /** The configuration as it is stored: JSON has no maps. */
-interface StoredConfig extends Omit<RouteConfig, 'services'> {
+interface StoredConfig extends Omit<RouteConfig, 'services' | 'customers'> {
   readonly services: readonly ServiceTarget[]
+  readonly customers: readonly Customer[] | undefined
 }
 
 /** In-memory control store for tests; daemons may share one. */
@@ -37,12 +42,17 @@
     return known
   }
 
-  putConfig (version: number, routes: readonly Route[], services: readonly ServiceTarget[]): void {
+  putConfig (version: number, routes: readonly Route[], services: readonly ServiceTarget[], customers?: readonly Customer[]): void {
     const limits = { maxHeaderBytes: 16_384, maxBodyBytes: 100_000_000, headerTimeoutMs: 3000, idleTimeoutMs: 15_000 }
-    const config: StoredConfig = { version, routes, services, limits }
+    const config: StoredConfig = { version, routes, services, customers, limits }
     this.records('configuration').push({ key: 'config', value: Buffer.from(JSON.stringify(config)) })
   }
 
+  /** Orders the evacuation of a failure domain, or withdraws the order. */
+  putEvacuation ({ failureDomain, isActive }: Evacuation): void {
+    this.records('configuration').push({ key: `${EVACUATION_PREFIX}${failureDomain}`, value: isActive ? Buffer.from('{}') : undefined })
+  }
+
   putUpstream (entry: UpstreamEntry): void {
     this.records('upstreams').push({ key: entry.id, value: Buffer.from(JSON.stringify(entry)) })
   }
@@ -75,10 +85,19 @@
     return Result.err('unanswered')
   }
 
-  decodeRoutes ({ value }: TableRecord): RouteConfig | undefined {
-    if (value === undefined) return undefined
-    const { services, ...config } = JSON.parse(value.toString()) as StoredConfig
-    return { ...config, services: new Map(services.map(service => [service.name, service])) }
+  decodeRoutes ({ value }: TableRecord): Result<RouteConfig, string> {
+    if (value === undefined) return Result.err('the record was removed')
+    const { services, customers, ...config } = JSON.parse(value.toString()) as StoredConfig
+    return Result.ok({
+      ...config,
+      services: new Map(services.map(service => [service.name, service])),
+      customers: customers && new Map(customers.map(customer => [customer.name, customer]))
+    })
+  }
+
+  decodeEvacuation ({ key, value }: TableRecord): Evacuation | undefined {
+    if (!key.startsWith(EVACUATION_PREFIX)) return undefined
+    return { failureDomain: key.slice(EVACUATION_PREFIX.length), isActive: value !== undefined }
   }
 
   decodeUpstream ({ value }: TableRecord): UpstreamEntry | undefined {
--- a/packages/daemon/src/types/controlStore.ts
+++ b/packages/daemon/src/types/controlStore.ts
@@ -59,6 +59,13 @@
 /** Outcome of a call to the store. */
 export type StoreResult<Value> = Result<Value, StoreFailure>
 
+/** An operator's order about the upstreams of a failure domain. */
+export interface Evacuation {
+  readonly failureDomain: string
+  /** Whether they must get no new work; false once the order is withdrawn. */
+  readonly isActive: boolean
+}
+
 /** Client of the platform's control store, which also decodes its records. */
 export interface ControlStore {
   /** Reads the newest records of a table, a page at a time; `after` is the `nextAfter` of the previous page. */
@@ -67,8 +74,10 @@
   readChanges (table: TableName, from: number, waitMs: Milliseconds): Promise<StoreResult<TableChanges>>
   /** Writes records to a table atomically; with `expectedEnd`, only if the next change has this offset. */
   put (table: TableName, records: readonly TableRecord[], expectedEnd?: number): Promise<StoreResult<void>>
-  /** Decodes a configuration; undefined if the record is none. */
-  decodeRoutes (record: TableRecord): RouteConfig | undefined
+  /** Decodes a configuration; an error tells why the record cannot be used at all. */
+  decodeRoutes (record: TableRecord): Result<RouteConfig, string>
+  /** Decodes an order to evacuate a failure domain, or its withdrawal; undefined if the record is neither. */
+  decodeEvacuation (record: TableRecord): Evacuation | undefined
   /** Decodes an upstream entry; undefined if the record has no usable upstream. */
   decodeUpstream (record: TableRecord): UpstreamEntry | undefined
   close (): void
--- a/packages/daemon/src/types/dialect.ts
+++ b/packages/daemon/src/types/dialect.ts
@@ -34,6 +34,12 @@
   readonly rateNotice: RateNotice | undefined
   /** How long the upstream keeps the connection open while it is idle; undefined if not announced. */
   readonly idleTimeoutMs: Milliseconds | undefined
+  /** The upstream is leaving and takes no new work. */
+  readonly isLeaving: boolean
+  /** How long the upstream, which has turned the request away, takes nothing from this VM; undefined if it does not say. */
+  readonly retryAfterMs: Milliseconds | undefined
+  /** How long the upstream stays cold; undefined if it does not say. */
+  readonly warmupLeftMs: Milliseconds | undefined
 }
 
 /** The headers by which callers, daemons and upstreams exchange ids, deadlines and load. */
@@ -42,6 +48,12 @@
   callerRequestId (headers: IncomingHttpHeaders): string | undefined
   /** Remaining time that the caller waits; undefined if the request does not specify it. */
   timeLeftMs (headers: IncomingHttpHeaders): Milliseconds | undefined
+  /** The key by which a request identifies its customer; undefined if it has none. */
+  credential (headers: IncomingHttpHeaders): string | undefined
+  /** Headers that tell an upstream the customer of a request. */
+  customerHeaders (name: string): readonly string[]
+  /** Lower-case names of request headers that are not forwarded where the configuration has customers. */
+  readonly credentialHeaders: ReadonlySet<string>
   attemptHeaders (metadata: AttemptMetadata): AttemptHeaders
   readResponseMetadata (status: number, rawHeaders: readonly string[], now: Milliseconds): ResponseMetadata
   /** Headers added to each response to a caller, both to an upstream's and to those that the daemon generates. */
--- a/packages/daemon/src/types/gatewaySettings.ts
+++ b/packages/daemon/src/types/gatewaySettings.ts
@@ -9,6 +9,13 @@
   readonly calls: number
 }
 
+/** In each window, a customer's requests may exceed its quota by `share` of the quota and by `requests`. */
+export interface QuotaTolerance {
+  readonly windowMs: Milliseconds
+  readonly share: number
+  readonly requests: number
+}
+
 /** Settings of the daemon of one entry VM. */
 export interface GatewaySettings {
   readonly vmId: string
@@ -22,6 +29,8 @@
   readonly adminAddress: string
   /** Address that the other entry VMs connect to. */
   readonly feedAddress: string
+  /** Address at which this VM takes requests of the other entry VMs; undefined if it takes none. */
+  readonly peerAddress?: string | undefined
   /** Time between SIGTERM and SIGKILL. */
   readonly graceMs: Milliseconds
   /** Time after a store outage in which live upstreams renew entries that expired during it. */
@@ -31,6 +40,13 @@
   readonly retryBudget: FleetRetryBudget
   /** Load probes per second that all entry VMs together may send to one upstream. */
   readonly probesPerUpstreamSecond: number
+  /**
+   * Longest time after the withdrawal of a key for which requests with it may be accepted; undefined if a VM may use the last
+   * keys that it knows.
+   */
+  readonly maxKeyAgeMs?: Milliseconds | undefined
+  /** By how much the requests of a customer may exceed its quota; undefined if the platform does not say. */
+  readonly quotaTolerance?: QuotaTolerance | undefined
   /** Overrides of the routing defaults. */
   readonly routing: Partial<RoutingPolicy>
 }
--- a/packages/daemon/src/utils/errorStatus.ts
+++ b/packages/daemon/src/utils/errorStatus.ts
@@ -6,6 +6,8 @@
   deadlineUnreachable: 429,
   shed: 429,
   rateLimited: 429,
+  overQuota: 429,
+  unknownKey: 401,
   bodyTooLarge: 413,
   bodyTimeout: 408,
   headTooLarge: 431,
--- a/packages/daemon/src/utils/headers.ts
+++ b/packages/daemon/src/utils/headers.ts
@@ -15,6 +15,11 @@
 /** Key by which a caller identifies repeats of a request. */
 export const IDEMPOTENCY_KEY_HEADER = 'idempotency-key'
 
+/** Carries a caller's key. */
+export const AUTHORIZATION_HEADER = 'authorization'
+/** Name of the customer, set towards upstreams. */
+export const CUSTOMER_HEADER = 'x-customer'
+
 /** Headers that concern one connection only (RFC 9110 section 7.6.1), and `expect`, which is answered at the first hop. */
 const HOP_BY_HOP = new Set([
   'connection', 'keep-alive', 'proxy-connection', 'proxy-authenticate', 'proxy-authorization',
@@ -63,3 +68,8 @@
   const seconds = /timeout\s*=\s*(\d{1,6})/i.exec(findHeader(raw, 'keep-alive') ?? '')?.[1]
   return seconds === undefined ? undefined : Number(seconds) * 1000
 }
+
+/** The token of an `Authorization` header with the Bearer scheme (RFC 6750 section 2.1); undefined if it has none. */
+export function bearerToken (authorization: string | undefined): string | undefined {
+  return /^bearer +(\S+) *$/i.exec(authorization ?? '')?.[1]
+}
