Split the call engine by responsibility

Attempts in progress are now in AttemptRunner, the calls that wait in WaitingCalls, those that wait for a retry in PendingRetries.

--- a/packages/core/src/core/dispatch/callEngine.ts
+++ b/packages/core/src/core/dispatch/callEngine.ts
@@ -1,49 +1,43 @@
-import type { Milliseconds } from '../../types/clock.js'
-import type { AttemptPurpose, Call, CallResult, CancelReason } from '../../types/dispatch.js'
+import type { Call, CallResult, CancelReason } from '../../types/dispatch.js'
 import type { ResultCodeName } from '../../types/resultCode.js'
-import type { Timer } from '../../utils/timerQueue.js'
-import { latestStartAt, checkAdmission } from '../limits/admission.js'
-import { isRetryable, failureResult } from './attemptEnds.js'
-import { recordCancellation } from './cancelledAttempts.js'
+import { checkAdmission } from '../limits/admission.js'
+import { failureResult } from './attemptEnds.js'
 import type { AttemptControl } from './attemptControl.js'
-import { AttemptMonitor } from './attemptMonitor.js'
+import { AttemptRunner } from './attemptRunner.js'
 import { createCallState, type AttemptState, type CallState } from './callState.js'
 import { countResult } from './dispatchCounters.js'
-import { LoadProbes } from '../routing/loadProbes.js'
-import { ParkedCalls } from './parkedCalls.js'
 import { collectResultDiagnostics } from './resultDiagnostics.js'
 import { withRetryAfter } from '../limits/retryAfter.js'
 import type { RoutingContext } from './routingContext.js'
 import type { UpstreamState } from '../health/upstreamState.js'
-import { snapshotSelection } from './selectionSnapshot.js'
-import { chooseUpstream, findUnusedUpstream, type UpstreamChoice } from '../routing/upstreamChoice.js'
-
-/** Longest wait for the retry budget, as a share of the call's target time. */
-const BUDGET_WAIT_SHARE = 1 / 8
+import { chooseUpstream } from '../routing/upstreamChoice.js'
+import { WaitingCalls } from './waitingCalls.js'
 
 /** Admits, queues, starts, retries and finishes the calls of one service. */
 export class CallEngine implements AttemptControl {
-  readonly attempts = new Map<number, AttemptState>()
   private readonly calls = new Map<number, CallState>()
-  private readonly awaitingRetry: CallState[] = []
-  private readonly parked = ParkedCalls.create()
-  private readonly monitor: AttemptMonitor
-  private readonly probes: LoadProbes
-  private nextAttemptId = 1
+  private readonly runner: AttemptRunner
+  private readonly waiting: WaitingCalls
   private isStartingCalls = false
-  private recheckTimer: Timer | undefined
 
   private constructor (private readonly context: RoutingContext) {
-    this.monitor = AttemptMonitor.create(context, this)
-    this.probes = LoadProbes.create(context, state => this.resumeProbed(state))
+    this.runner = AttemptRunner.create(context, this, () => this.waitingCalls)
+    this.waiting = WaitingCalls.create(context, {
+      finish: (state, result) => this.finish(state, result),
+      onQueued: () => this.startWaitingCalls()
+    })
   }
 
   static create (context: RoutingContext): CallEngine {
     return new CallEngine(context)
   }
 
+  get attempts (): ReadonlyMap<number, AttemptState> {
+    return this.runner.attempts
+  }
+
   get waitingCalls (): number {
-    return this.context.queue.size + this.awaitingRetry.length + this.parked.size + this.probes.size
+    return this.waiting.size
   }
 
   submit (call: Call): void {
@@ -78,7 +72,7 @@
     } finally {
       this.isStartingCalls = false
     }
-    this.scheduleRecheck()
+    this.waiting.scheduleRecheck()
   }
 
   /**
@@ -86,38 +80,21 @@
    * not kept waiting can still try again, while a waiting one may find the budget used up by other calls.
    */
   retryOrFinish (state: CallState, code: ResultCodeName): void {
-    if (!this.mayRetry(state) || this.isBudgetWaitTooLong(state)) return this.finish(state, failureResult(state, code))
-    state.phase = 'awaitingRetry'
-    this.awaitingRetry.push(state)
-    this.scheduleWaitTimeout(state, () => failureResult(state, code))
+    const result = () => failureResult(state, code)
+    if (!this.mayRetry(state) || this.waiting.retries.isBudgetWaitTooLong(state)) return this.finish(state, result())
+    this.waiting.awaitRetry(state, result)
   }
 
   mayRetry (state: CallState): boolean {
-    const { serviceTimes, clock } = this.context
-    if (!isRetryable(state) || state.attemptCount >= this.context.maxAttempts(state.call.kind)) return false
-    const typicalMs = serviceTimes.quantileMs(state.call.kind, 0.5) ?? 0
-    return clock.now() + typicalMs < state.call.deadlineAt
+    return this.waiting.retries.mayRetry(state)
   }
 
-  /** Starts a hedge if an untried upstream has capacity. Returns whether it started. */
   startHedge (state: CallState): boolean {
-    const choice = this.chooseUnlessSuspect(state, 'hedge')
-    if (choice === undefined || state.triedUpstreams.has(choice.state.upstream.id)) return false
-    this.context.counters.hedges += 1
-    this.startBudgetedAttempt(choice, state, 'hedge')
-    return true
+    return this.runner.startHedge(state)
   }
 
-  /**
-   * Starts an attempt in place of a stalled one if an upstream has capacity: the same one, over a proven connection, if
-   * there is no other. Returns whether it started.
-   */
   startReplacement (state: CallState): boolean {
-    const choice = this.chooseUnlessSuspect(state, 'retry')
-    if (choice === undefined) return false
-    this.context.counters.retries += 1
-    this.startBudgetedAttempt(choice, state, 'retry')
-    return true
+    return this.runner.startReplacement(state)
   }
 
   deliver (state: CallState, attempt: AttemptState): void {
@@ -127,7 +104,7 @@
 
   finish (state: CallState, result: CallResult): void {
     if (state.phase === 'finished') return
-    this.removeFromWaiting(state)
+    this.waiting.remove(state)
     state.phase = 'finished'
     this.context.timers.cancel(state.deadlineTimer)
     this.calls.delete(state.call.id)
@@ -138,68 +115,45 @@
   }
 
   cancelRunning (state: CallState, reason: CancelReason, except?: AttemptState): void {
-    for (const attempt of [...state.running]) {
-      if (attempt !== except) this.cancelAttempt(attempt, reason)
-    }
+    this.runner.cancelRunning(state, reason, except)
   }
 
   cancelAttempt (attempt: AttemptState, reason: CancelReason): void {
-    this.removeAttempt(attempt)
-    attempt.callState.mayHaveRun = true
-    recordCancellation(this.context, attempt, reason)
-    this.context.port.cancelAttempt(attempt.attempt.id, reason)
+    this.runner.cancel(attempt, reason)
   }
 
   /** After a crash, another attempt of the call that is still in progress becomes the trial of the request. */
   onCrash (state: CallState): void {
-    if (state.running.length > 0) this.parked.beginTrial(state.call.fingerprint, state.call.id)
+    if (state.running.length > 0) this.waiting.parked.beginTrial(state.call.fingerprint, state.call.id)
   }
 
   rearm (attempt: AttemptState): void {
-    this.monitor.rearm(attempt)
+    this.runner.rearm(attempt)
   }
 
   removeAttempt (attempt: AttemptState): void {
-    this.attempts.delete(attempt.attempt.id)
-    this.context.timers.cancel(attempt.timer)
-    attempt.upstreamState.onAttemptEnd(attempt)
-    const running = attempt.callState.running
-    running.splice(running.indexOf(attempt), 1)
+    this.runner.remove(attempt)
+  }
+
+  /** A probe of an upstream ended, with or without a report. */
+  onProbeEnd (upstream: UpstreamState): void {
+    this.waiting.onProbeEnd(upstream)
   }
 
   private admit (state: CallState): void {
-    const now = this.context.clock.now()
     const code = checkAdmission(this.context, state.call, this.attempts.size)
     if (code !== undefined) return this.finish(state, { kind: 'notRun', code })
-    this.enqueue(state, now)
+    this.enqueue(state)
   }
 
-  private enqueue (state: CallState, now: Milliseconds): void {
+  private enqueue (state: CallState): void {
     const { queue } = this.context
     if (queue.isFull()) {
       const victim = queue.findVictim(state.call.kind)
       if (victim === undefined) return this.finish(state, { kind: 'notRun', code: 'queueFull' })
       this.finish(victim, { kind: 'notRun', code: 'queueFull' })
     }
-    state.phase = 'queued'
-    queue.push(state, now)
-    this.scheduleRefusal(state)
-  }
-
-  private scheduleRefusal (state: CallState): void {
-    this.scheduleWaitTimeout(state, () => ({ kind: 'notRun', code: 'deadlineUnreachable' }))
-  }
-
-  /** Finishes a waiting call at the latest time at which an attempt could start and still end in time. */
-  private scheduleWaitTimeout (state: CallState, result: () => CallResult): void {
-    const { serviceTimes, timers, clock } = this.context
-    const { hopelessQuantile } = this.context.policyOf(state.call.kind)
-    const neededMs = serviceTimes.quantileMs(state.call.kind, hopelessQuantile) ?? 0
-    const latest = state.attemptCount === 0 && state.call.targetAt !== undefined
-      ? latestStartAt(this.context, state.call)
-      : state.call.deadlineAt - neededMs
-    const at = Math.max(clock.now(), latest)
-    state.waitTimer = timers.schedule(at, () => this.finish(state, result()))
+    this.waiting.enqueue(state)
   }
 
   /**
@@ -214,29 +168,15 @@
       this.finish(state, failureResult(state, state.mayHaveRun ? state.lastResultCode ?? 'upstreamFailed' : 'suspectRequest'))
       return true
     }
-    if (this.parked.beginTrial(fingerprint, state.call.id)) return false
-    this.removeFromWaiting(state)
-    state.phase = 'parked'
-    this.parked.add(state)
+    if (this.waiting.parked.beginTrial(fingerprint, state.call.id)) return false
+    this.waiting.park(state)
     return true
   }
 
-  /** A probe of an upstream ended, with or without a report. */
-  onProbeEnd (upstream: UpstreamState): void {
-    this.probes.onProbeEnd(upstream)
-  }
-
-  /** Queues a call again whose probes have ended or timed out. */
-  private resumeProbed (state: CallState): void {
-    state.phase = 'queued'
-    this.context.queue.pushFront(state, this.context.clock.now())
-    this.scheduleRefusal(state)
-    this.startWaitingCalls()
-  }
-
   private resumeParked (fingerprint: string): void {
-    if (this.parked.size === 0 && !this.parked.hasTrial(fingerprint)) return
-    for (const state of this.parked.endTrial(fingerprint, this.calls)) {
+    const { parked } = this.waiting
+    if (parked.size === 0 && !parked.hasTrial(fingerprint)) return
+    for (const state of parked.endTrial(fingerprint, this.calls)) {
       if (state.attemptCount === 0) this.admit(state)
       else this.retryOrFinish(state, state.lastResultCode ?? 'upstreamFailed')
     }
@@ -250,9 +190,9 @@
   }
 
   private startNextRetry (): boolean {
-    const state = this.awaitingRetry[0]
+    const state = this.waiting.retries.first
     if (state === undefined) return false
-    if (this.isBudgetWaitTooLong(state)) {
+    if (this.waiting.retries.isBudgetWaitTooLong(state)) {
       this.finish(state, failureResult(state, state.lastResultCode ?? 'shed'))
       return true
     }
@@ -260,126 +200,28 @@
     if (this.refuseOrParkSuspect(state)) return true
     const choice = chooseUpstream(this.context, state, 'retry')
     if (choice === undefined) return false
-    this.context.counters.retries += 1
-    this.removeFromWaiting(state)
-    this.startBudgetedAttempt(choice, state, 'retry')
+    this.waiting.remove(state)
+    this.runner.startRetry(choice, state)
     return true
   }
 
-  /** Whether the expected wait for the retry budget exceeds the time that the call may wait for it. */
-  private isBudgetWaitTooLong ({ call }: CallState): boolean {
-    const longestWaitMs = ((call.targetAt ?? call.deadlineAt) - call.arrivedAt) * BUDGET_WAIT_SHARE
-    return this.context.retryBudget.expectedWaitMs() > longestWaitMs
-  }
-
   private startNextQueuedCall (): boolean {
     const { context } = this
     const state = context.queue.next()
     if (state === undefined) return false
     if (this.refuseOrParkSuspect(state)) return true
     const choice = chooseUpstream(context, state, 'first')
-    if (choice?.isTrial !== true && this.probes.begin(state, choice !== undefined)) {
-      this.removeFromWaiting(state)
-      state.phase = 'probing'
-      return true
-    }
+    if (choice?.isTrial !== true && this.waiting.beginProbes(state, choice !== undefined)) return true
     if (choice === undefined) return this.refuseIfNoUpstream(state)
     context.queue.depart(state, context.clock.now())
-    this.removeFromWaiting(state)
-    this.startAttempt(choice, state, 'first')
-    this.tryUnusedUpstream(state)
+    this.waiting.remove(state)
+    this.runner.startFirst(choice, state)
     return true
   }
 
-  /**
-   * Sends the call also to an upstream that has joined and received no call yet, if there is one. The attempt that has
-   * just started finishes in time even if the new upstream is still slow.
-   */
-  private tryUnusedUpstream (state: CallState): void {
-    const { kind, replayable, fingerprint } = state.call
-    const { retryBudget, suspects, clock } = this.context
-    if (!kind.idempotent || !kind.hedgeable || !replayable || state.phase !== 'running') return
-    if (!retryBudget.canHedge() || state.attemptCount >= this.context.maxAttempts(kind)) return
-    if (suspects.verdict(fingerprint, clock.now()) !== 'clear') return
-    const unused = findUnusedUpstream(this.context, state)
-    if (unused === undefined) return
-    this.context.counters.hedges += 1
-    this.startBudgetedAttempt({ state: unused, isTrial: false }, state, 'hedge')
-  }
-
   private refuseIfNoUpstream (state: CallState): boolean {
     if (this.context.table.hasEligibleUpstreams(this.context.clock.now())) return false
     this.finish(state, { kind: 'notRun', code: 'noUpstream' })
     return true
   }
-
-  /** Chooses an upstream for a concurrent attempt; none for a suspect request, which must run on one at a time. */
-  private chooseUnlessSuspect (state: CallState, purpose: AttemptPurpose): UpstreamChoice | undefined {
-    const verdict = this.context.suspects.verdict(state.call.fingerprint, this.context.clock.now())
-    return verdict === 'clear' ? chooseUpstream(this.context, state, purpose) : undefined
-  }
-
-  private startBudgetedAttempt (choice: UpstreamChoice, state: CallState, purpose: AttemptPurpose): void {
-    this.context.retryBudget.spend()
-    this.startAttempt(choice, state, purpose)
-  }
-
-  private startAttempt (choice: UpstreamChoice, state: CallState, purpose: AttemptPurpose): void {
-    const { context } = this
-    const now = context.clock.now()
-    const target = choice.state
-    const attempt: AttemptState = {
-      attempt: {
-        id: this.nextAttemptId++,
-        callId: state.call.id,
-        upstreamId: target.upstream.id,
-        deadlineAt: state.call.deadlineAt,
-        provenConnection: !state.call.kind.idempotent || state.needsProvenConnection,
-        purpose,
-        selection: snapshotSelection(context, target, state.call.kind, this.waitingCalls, now)
-      },
-      callState: state,
-      upstreamState: target,
-      startedAt: now,
-      predictedWaitMs: context.serviceTimes.predictedWaitMs(target, now, target.reportTrust),
-      reportedWaitMs: context.serviceTimes.predictedWaitMs(target, now, 1),
-      lastProgressAt: now,
-      timer: undefined,
-      isTrial: choice.isTrial,
-      isSuspect: context.suspects.verdict(state.call.fingerprint, now) !== 'clear',
-      isDiscarded: false
-    }
-    this.addAttempt(attempt)
-    if (choice.isTrial) context.outliers.onTrialStart(target, now)
-    this.monitor.arm(attempt)
-    context.port.startAttempt(attempt.attempt)
-  }
-
-  private addAttempt (attempt: AttemptState): void {
-    const { callState, upstreamState } = attempt
-    callState.phase = 'running'
-    callState.attemptCount += 1
-    callState.triedUpstreams.add(upstreamState.upstream.id)
-    callState.triedDomains.add(upstreamState.upstream.failureDomain)
-    callState.running.push(attempt)
-    upstreamState.onAttemptStart(attempt, attempt.startedAt)
-    this.attempts.set(attempt.attempt.id, attempt)
-    this.context.counters.attempts += 1
-    this.context.table.resizeSubset(this.attempts.size)
-  }
-
-  private removeFromWaiting (state: CallState): void {
-    if (state.phase === 'queued') this.context.queue.remove(state)
-    if (state.phase === 'awaitingRetry') this.awaitingRetry.splice(this.awaitingRetry.indexOf(state), 1)
-    if (state.phase === 'parked') this.parked.remove(state)
-    if (state.phase === 'probing') this.probes.remove(state)
-    this.context.timers.cancel(state.waitTimer)
-  }
-
-  private scheduleRecheck (): void {
-    const { queue, timers, clock, policy } = this.context
-    const isWaiting = queue.size + this.awaitingRetry.length > 0
-    if (!isWaiting || (this.recheckTimer?.heapIndex ?? -1) >= 0) return
-    this.recheckTimer = timers.schedule(clock.now() + policy.queueRecheckMs, () => {})
-  }
 }
