Order and refuse waiting calls by urgency, customer and answered share

Under overload the order was weight per service time alone. A less urgent kind with short requests was served in place of an urgent one, a customer waited behind all calls of a larger one, bulk took the slots of urgent reads, and the retry budget went to the calls that may wait longest, the least urgent ones.

One estimate (StartEstimate) now serves admission, Retry-After and the log of a refusal. Where priorities or customers differ, the wait queue compares the shares answered lately: a kind or customer far below the others goes first, and an urgent kind has at least the rank of a less urgent one that is served better. Within a kind, customers share by start-time fair queueing. Waiting calls that will not start in time are refused in reviews every 20 ms. While urgent calls wait, a part of the upstreams is reserved for them, in an order that is the same on all VMs. Retries are kept for urgent kinds that lack them. Parked calls are counted as calls, not as fingerprints.

--- a/packages/core/__tests__/suspects.test.ts
+++ b/packages/core/__tests__/suspects.test.ts
@@ -55,6 +55,15 @@
     expect(harness.started.some(each => each.callId === another)).to.equal(true)
   })
 
+  // Guards against a count of fingerprints in place of calls, which hid the calls that wait for one trial.
+  it('counts each call parked for a trial as waiting', () => {
+    const harness = Harness.create(6)
+    harness.warmUp()
+    harness.end(harness.attemptOf(harness.submit(LOOKUP, POISON)), 'crashed')
+    for (let count = 0; count < 3; count++) harness.submit(LOOKUP, POISON)
+    expect(harness.dispatcher.waitingCalls).to.equal(3)
+  })
+
   // Guards against a caller that repeats the request through VMs that learn of the mark late.
   it('passes each mark to the host at once', () => {
     const [one, other] = [Harness.create(6), Harness.create(6)]
--- a/packages/core/__tests__/waitQueue.test.ts
+++ b/packages/core/__tests__/waitQueue.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai'
 import { createCallState, type CallState } from '../src/core/dispatch/callState.js'
-import { WaitQueue } from '../src/core/limits/waitQueue.js'
+import { WaitQueue } from '../src/core/capacity/waitQueue.js'
 import type { RequestKind } from '../src/types/requestKind.js'
 import { DEFAULT_ROUTING_POLICY } from '../src/types/routingPolicy.js'
 import { FEE, Harness, LOOKUP } from './dispatcherHarness.js'
@@ -14,7 +14,7 @@
 describe('WaitQueue', () => {
   // Guards against starvation: by weight alone, low-weight kinds would never leave the queue.
   it('serves by weight and gives every kind its floor share', () => {
-    const queue = WaitQueue.create(DEFAULT_ROUTING_POLICY, () => 5)
+    const queue = WaitQueue.create(DEFAULT_ROUTING_POLICY, { serviceMsOf: () => 5 })
     for (let id = 0; id < 400; id++) {
       for (const kind of [DUMP, LOOKUP, FEE]) queue.push(waiting(kind, id), 0)
     }
@@ -31,7 +31,7 @@
 
   // Guards against reordering calls of the same kind.
   it('keeps the order of arrival within a kind', () => {
-    const queue = WaitQueue.create(DEFAULT_ROUTING_POLICY, () => 5)
+    const queue = WaitQueue.create(DEFAULT_ROUTING_POLICY, { serviceMsOf: () => 5 })
     for (const id of [1, 2, 3]) queue.push(waiting(LOOKUP, id), 0)
     const order = [1, 2, 3].map(now => {
       const next = queue.next()!
@@ -43,13 +43,13 @@
 
   // Guards against a queue full of low-weight calls that shuts out high-weight ones.
   it('evicts the newest call of a lower-weight kind above its floor when full', () => {
-    const queue = WaitQueue.create({ ...DEFAULT_ROUTING_POLICY, queueLimitCalls: 40 }, () => 5)
+    const queue = WaitQueue.create({ ...DEFAULT_ROUTING_POLICY, queueLimitCalls: 40 }, { serviceMsOf: () => 5 })
     const light = Array.from({ length: 40 }, (_, id) => waiting(LOOKUP, id))
     for (const state of light) queue.push(state, 0)
-    expect(queue.findVictim(FEE)).to.equal(light.at(-1))
-    expect(queue.findVictim(LOOKUP)).to.equal(undefined)
+    expect(queue.findVictim({ kind: FEE })).to.equal(light.at(-1))
+    expect(queue.findVictim({ kind: LOOKUP })).to.equal(undefined)
     for (const state of light.slice(2)) queue.remove(state)
-    expect(queue.findVictim(FEE)).to.equal(undefined)
+    expect(queue.findVictim({ kind: FEE })).to.equal(undefined)
   })
 })
 
--- /dev/null
+++ b/packages/core/src/core/capacity/startEstimate.ts
@@ -0,0 +1,69 @@
+import type { Milliseconds } from '../../types/clock.js'
+import type { Call } from '../../types/dispatch.js'
+import { isDraining } from '../health/upstreamTable.js'
+import { rateLimitedUntil } from '../limits/rateAdmission.js'
+import type { RoutingContext } from '../dispatch/routingContext.js'
+
+/** What delays a call most. */
+export type StartDelay = 'none' | 'queue' | 'requestRate' | 'pause'
+
+/** When a call that arrives now could start and end. */
+export interface StartEstimate {
+  readonly startAt: Milliseconds
+  /** Expected end, by the typical service time of the kind. */
+  readonly endAt: Milliseconds
+  readonly waitMs: Milliseconds
+  /** Waiting calls that start before it. */
+  readonly callsBefore: number
+  readonly delay: StartDelay
+  /** Latest start with which it would be in time. */
+  readonly latestStartAt: Milliseconds
+}
+
+/**
+ * Estimates when a call could start: not before the request rates of the upstreams allow it, nor before the first of them
+ * ends its pause, nor before the waiting calls that precede it have started at the rate at which calls start now.
+ * `startIntervalMs` is the time between two starts that is assumed until some were observed. The rate of starts
+ * includes what other VMs take from the same upstreams, since this VM's calls start only in the slots that those leave.
+ */
+export function estimateStart (context: RoutingContext, call: Call, startIntervalMs: Milliseconds): StartEstimate {
+  const { queue, clock, serviceTimes } = context
+  const now = clock.now()
+  const byDelay: Array<readonly [StartDelay, Milliseconds]> = [
+    ['queue', queue.size === 0 ? 0 : queue.expectedWaitMs(call, now, startIntervalMs)],
+    ['requestRate', (rateLimitedUntil(context, call) ?? now) - now],
+    ['pause', (pausedUntil(context, now) ?? now) - now]
+  ]
+  const [delay, waitMs] = byDelay.reduce((longest, each) => each[1] > longest[1] ? each : longest, ['none', 0])
+  return {
+    startAt: now + waitMs,
+    endAt: now + waitMs + serviceTimes.meanServiceMsOf(call.kind),
+    waitMs,
+    callsBefore: queue.size === 0 ? 0 : queue.countBefore(call, now),
+    delay,
+    latestStartAt: latestStartAt(context, call)
+  }
+}
+
+/**
+ * Latest time at which a waiting call can start and still finish in time: by its target, or by its deadline if the
+ * target is out of reach even without waiting.
+ */
+export function latestStartAt (context: RoutingContext, call: Call): Milliseconds {
+  const { serviceTimes } = context
+  const neededMs = serviceTimes.quantileMs(call.kind, context.policyOf(call.kind).hopelessQuantile) ?? serviceTimes.meanServiceMsOf(call.kind)
+  const latestForTargetAt = (call.targetAt ?? call.deadlineAt) - neededMs
+  return latestForTargetAt > call.arrivedAt ? latestForTargetAt : call.deadlineAt - neededMs
+}
+
+/** When the first upstream ends its pause, if all that are not draining pause; undefined if one does not, or none is left. */
+function pausedUntil ({ table }: RoutingContext, now: Milliseconds): Milliseconds | undefined {
+  let firstEndAt = Infinity
+  for (const state of table.inUse()) {
+    if (isDraining(state, now)) continue
+    // An ejected upstream may be tried again at any time.
+    if (state.isEjected || state.backoffUntil <= now) return undefined
+    firstEndAt = Math.min(firstEndAt, state.backoffUntil)
+  }
+  return firstEndAt === Infinity ? undefined : firstEndAt
+}
--- a/packages/core/src/core/dispatch/callEngine.ts
+++ b/packages/core/src/core/dispatch/callEngine.ts
@@ -1,5 +1,7 @@
+import type { Milliseconds } from '../../types/clock.js'
 import type { Call, CallResult, CancelReason } from '../../types/dispatch.js'
 import type { ResultCodeName } from '../../types/resultCode.js'
+import { estimateStart, type StartEstimate } from '../capacity/startEstimate.js'
 import { checkAdmission } from '../limits/admission.js'
 import { failureResult } from './attemptEnds.js'
 import type { AttemptControl } from './attemptControl.js'
@@ -13,12 +15,16 @@
 import { chooseUpstream } from '../routing/upstreamChoice.js'
 import { WaitingCalls } from './waitingCalls.js'
 
+/** Time between two reviews of the waiting calls; short beside the service times of overloaded services. */
+const REVIEW_INTERVAL_MS = 20
+
 /** Admits, queues, starts, retries and finishes the calls of one service. */
 export class CallEngine implements AttemptControl {
   private readonly calls = new Map<number, CallState>()
   private readonly runner: AttemptRunner
   private readonly waiting: WaitingCalls
   private isStartingCalls = false
+  private nextReviewAt: Milliseconds = 0
 
   private constructor (private readonly context: RoutingContext) {
     this.runner = AttemptRunner.create(context, this, () => this.waitingCalls)
@@ -46,6 +52,7 @@
     context.counters.calls += 1
     context.retryBudget.onCall(context.clock.now())
     context.serviceTimes.onCall(call.kind)
+    context.reservation.onCall(call.kind, context.clock.now())
     this.calls.set(call.id, state)
     state.deadlineTimer = context.timers.schedule(call.deadlineAt, () => this.onDeadline(state))
     this.admit(state)
@@ -69,6 +76,7 @@
     this.isStartingCalls = true
     try {
       while (this.startNextRetry() || this.startNextQueuedCall());
+      this.refuseHopeless()
     } finally {
       this.isStartingCalls = false
     }
@@ -81,7 +89,7 @@
    */
   retryOrFinish (state: CallState, code: ResultCodeName): void {
     const result = () => failureResult(state, code)
-    if (!this.mayRetry(state) || this.waiting.retries.isBudgetWaitTooLong(state)) return this.finish(state, result())
+    if (!this.mayRetry(state) || this.waiting.retries.refusesForBudget(state)) return this.finish(state, result())
     this.waiting.awaitRetry(state, result)
   }
 
@@ -102,14 +110,17 @@
     this.finish(state, { kind: 'delivered', attemptId: attempt.attempt.id })
   }
 
-  finish (state: CallState, result: CallResult): void {
+  /** `estimate` is what the call is refused on, if it is refused because it would be late. */
+  finish (state: CallState, result: CallResult, estimate?: StartEstimate): void {
     if (state.phase === 'finished') return
     this.waiting.remove(state)
     state.phase = 'finished'
     this.context.timers.cancel(state.deadlineTimer)
     this.calls.delete(state.call.id)
     countResult(this.context.counters, result)
-    const diagnostics = 'code' in result ? collectResultDiagnostics(this.context, state) : undefined
+    this.context.served.onEnd(state.call, result, state.attemptCount > 0, this.context.clock.now())
+    if ('code' in result && result.code === 'deadlineUnreachable') this.context.reservation.onRefusal(this.context.clock.now())
+    const diagnostics = 'code' in result ? collectResultDiagnostics(this.context, state, estimate) : undefined
     this.context.port.finishCall(state.call.id, withRetryAfter(this.context, state.call, result), diagnostics)
     this.resumeParked(state.call.fingerprint)
   }
@@ -141,15 +152,15 @@
   }
 
   private admit (state: CallState): void {
-    const code = checkAdmission(this.context, state.call, this.attempts.size)
-    if (code !== undefined) return this.finish(state, { kind: 'notRun', code })
+    const refusal = checkAdmission(this.context, state.call, this.attempts.size)
+    if (refusal !== undefined) return this.finish(state, { kind: 'notRun', code: refusal.code }, refusal.estimate)
     this.enqueue(state)
   }
 
   private enqueue (state: CallState): void {
     const { queue } = this.context
     if (queue.isFull()) {
-      const victim = queue.findVictim(state.call.kind)
+      const victim = queue.findVictim(state.call, this.context.clock.now())
       if (victim === undefined) return this.finish(state, { kind: 'notRun', code: 'queueFull' })
       this.finish(victim, { kind: 'notRun', code: 'queueFull' })
     }
@@ -196,7 +207,7 @@
       this.finish(state, failureResult(state, state.lastResultCode ?? 'shed'))
       return true
     }
-    if (!this.context.retryBudget.canRetry()) return false
+    if (!this.waiting.retries.canRetry(state)) return false
     if (this.refuseOrParkSuspect(state)) return true
     const choice = chooseUpstream(this.context, state, 'retry')
     if (choice === undefined) return false
@@ -206,19 +217,43 @@
   }
 
   private startNextQueuedCall (): boolean {
+    const { queue, clock, reservation } = this.context
+    const now = clock.now()
+    for (const state of queue.heads(now)) {
+      if (this.startQueuedCall(state)) return true
+      // A call that may not use the reserved upstreams must not keep more urgent ones from them.
+      if (reservation.reservedShare(state.call.kind, now) === 0) return false
+    }
+    return false
+  }
+
+  private startQueuedCall (state: CallState): boolean {
     const { context } = this
-    const state = context.queue.next()
-    if (state === undefined) return false
     if (this.refuseOrParkSuspect(state)) return true
     const choice = chooseUpstream(context, state, 'first')
     if (choice?.isTrial !== true && this.waiting.beginProbes(state, choice !== undefined)) return true
     if (choice === undefined) return this.refuseIfNoUpstream(state)
-    context.queue.depart(state, context.clock.now())
+    const now = context.clock.now()
+    context.queue.depart(state, now)
+    context.served.onStart(state.call, now)
+    context.reservation.onStart(state.call.kind, now - state.call.arrivedAt, now)
     this.waiting.remove(state)
     this.runner.startFirst(choice, state)
     return true
   }
 
+  /** Refuses the waiting calls that are not expected to start in time any more. */
+  private refuseHopeless (): void {
+    const { context } = this
+    const now = context.clock.now()
+    if (now < this.nextReviewAt) return
+    this.nextReviewAt = now + REVIEW_INTERVAL_MS
+    for (const state of context.queue.findHopeless(now)) {
+      const estimate = estimateStart(context, state.call, context.serviceTimes.meanServiceMs())
+      this.finish(state, { kind: 'notRun', code: 'deadlineUnreachable' }, estimate)
+    }
+  }
+
   private refuseIfNoUpstream (state: CallState): boolean {
     if (this.context.table.hasEligibleUpstreams(this.context.clock.now())) return false
     this.finish(state, { kind: 'notRun', code: 'noUpstream' })
--- a/packages/core/src/core/dispatch/dispatcher.ts
+++ b/packages/core/src/core/dispatch/dispatcher.ts
@@ -142,6 +142,8 @@
       service: options.service,
       queued: this.engine.waitingCalls,
       running: this.engine.attempts.size,
+      queuedByKind: this.context.queue.countByKind(),
+      reservedShare: this.context.reservation.largestShare(now),
       counters: { ...counters, notRun: { ...counters.notRun }, outcomeUnknown: { ...counters.outcomeUnknown } },
       upstreams: table.inUse().map(state => table.snapshotOf(state, now))
     }
--- a/packages/core/src/core/dispatch/parkedCalls.ts
+++ b/packages/core/src/core/dispatch/parkedCalls.ts
@@ -13,9 +13,11 @@
     return new ParkedCalls()
   }
 
-  /** Number of fingerprints with parked calls. */
+  /** Number of parked calls. */
   get size (): number {
-    return this.callsByFingerprint.size
+    let count = 0
+    for (const calls of this.callsByFingerprint.values()) count += calls.size
+    return count
   }
 
   hasTrial (fingerprint: string): boolean {
--- a/packages/core/src/core/dispatch/routingContext.ts
+++ b/packages/core/src/core/dispatch/routingContext.ts
@@ -4,6 +4,9 @@
 import type { RandomSource } from '../../types/randomSource.js'
 import type { RequestKind } from '../../types/requestKind.js'
 import { NO_POLICY_EXCEPTIONS, type PolicyExceptions, type RoutingPolicy } from '../../types/routingPolicy.js'
+import { ServedShares } from '../capacity/servedShares.js'
+import { SlotReservation } from '../capacity/slotReservation.js'
+import { latestStartAt } from '../capacity/startEstimate.js'
 import { TimerQueue } from '../../utils/timerQueue.js'
 import { createCounters } from './dispatchCounters.js'
 import { ProbeBudget } from '../limits/probeBudget.js'
@@ -13,7 +16,7 @@
 import { SuspectTable } from '../health/suspectTable.js'
 import type { RateDivision } from '../limits/rateDivision.js'
 import { UpstreamTable } from '../health/upstreamTable.js'
-import { WaitQueue } from '../limits/waitQueue.js'
+import { WaitQueue } from '../capacity/waitQueue.js'
 
 /** Identity, settings and dependencies of a dispatcher. */
 export interface DispatcherOptions {
@@ -38,6 +41,8 @@
   readonly table: UpstreamTable
   readonly serviceTimes: ServiceTimeModel
   readonly queue: WaitQueue
+  readonly served = ServedShares.create()
+  readonly reservation: SlotReservation
   readonly retryBudget: RetryBudget
   readonly suspects: SuspectTable
   readonly outliers: OutlierDetector
@@ -52,7 +57,9 @@
     this.policy = policy
     this.table = UpstreamTable.create(policy, options)
     this.serviceTimes = ServiceTimeModel.create(policy)
-    this.queue = WaitQueue.create(policy, kind => this.serviceTimes.meanServiceMsOf(kind))
+    const serviceMsOf = (kind: RequestKind) => this.serviceTimes.meanServiceMsOf(kind)
+    this.queue = WaitQueue.create(policy, { serviceMsOf, latestStartAt: call => latestStartAt(this, call) }, this.served)
+    this.reservation = SlotReservation.create(serviceMsOf)
     this.retryBudget = RetryBudget.create(policy)
     this.suspects = SuspectTable.create(policy)
     this.outliers = OutlierDetector.create(policy, this.serviceTimes, this.counters, () => this.table.inUse())
--- a/packages/core/src/core/health/upstreamTable.ts
+++ b/packages/core/src/core/health/upstreamTable.ts
@@ -97,6 +97,11 @@
     return untried.length > 0 ? untried : open
   }
 
+  /** Upstreams in use that take new work once they have a free slot. */
+  working (now: Milliseconds): UpstreamState[] {
+    return this.used.filter(state => !state.isEjected && !isDraining(state, now) && state.backoffUntil <= now)
+  }
+
   /** Stores a load report. If it changes the number of slots, the slots are divided anew among the VMs. */
   onReport (state: UpstreamState, report: LoadReport): void {
     const slots = state.slots
--- a/packages/core/src/core/limits/admission.ts
+++ b/packages/core/src/core/limits/admission.ts
@@ -1,42 +1,29 @@
-import type { Milliseconds } from '../../types/clock.js'
 import type { Call } from '../../types/dispatch.js'
 import type { ResultCodeName } from '../../types/resultCode.js'
+import { estimateStart, type StartEstimate } from '../capacity/startEstimate.js'
 import type { RoutingContext } from '../dispatch/routingContext.js'
-import { rateLimitedUntil } from './rateAdmission.js'
 
-/** The code with which an arriving call is refused; undefined if it is admitted. `running` counts the attempts under way. */
-export function checkAdmission (context: RoutingContext, call: Call, running: number): ResultCodeName | undefined {
-  const now = context.clock.now()
-  if (call.deadlineAt <= now) return 'deadlinePassed'
-  if (!context.table.hasEligibleUpstreams(now)) return 'noUpstream'
-  if (context.suspects.verdict(call.fingerprint, now) === 'refuse') return 'suspectRequest'
-  if (isRateLimited(context, call)) return 'rateLimited'
-  if (!canStartInTime(context, call, running)) return 'deadlineUnreachable'
-  return undefined
-}
-
-function isRateLimited (context: RoutingContext, call: Call): boolean {
-  const limitedUntil = rateLimitedUntil(context, call)
-  return limitedUntil !== undefined && limitedUntil > latestStartAt(context, call)
+/** A refusal on arrival. */
+export interface Refusal {
+  readonly code: ResultCodeName
+  /** The estimate on which the call is refused; undefined if it is refused for another reason. */
+  readonly estimate?: StartEstimate
 }
 
-function canStartInTime (context: RoutingContext, call: Call, running: number): boolean {
-  const { queue, serviceTimes, clock } = context
-  if (queue.size === 0) return true
-  const policy = context.policyOf(call.kind)
-  const now = clock.now()
-  const startIntervalMs = serviceTimes.meanServiceMs() / Math.max(1, running)
-  const waitMs = queue.expectedWaitMs(call.kind, now, startIntervalMs)
-  return waitMs <= (latestStartAt(context, call) - now) * policy.queueWaitShare
+/** The refusal of an arriving call; undefined if it is admitted. `running` counts the attempts under way. */
+export function checkAdmission (context: RoutingContext, call: Call, running: number): Refusal | undefined {
+  const now = context.clock.now()
+  if (call.deadlineAt <= now) return { code: 'deadlinePassed' }
+  if (!context.table.hasEligibleUpstreams(now)) return { code: 'noUpstream' }
+  if (context.suspects.verdict(call.fingerprint, now) === 'refuse') return { code: 'suspectRequest' }
+  const estimate = estimateStart(context, call, context.serviceTimes.meanServiceMs() / Math.max(1, running))
+  const code = codeFor(context, call, estimate)
+  return code === undefined ? undefined : { code, estimate }
 }
 
-/**
- * Latest time at which a waiting call can start and still finish in time: by its target, or by its deadline if the
- * target is out of reach even without waiting.
- */
-export function latestStartAt (context: RoutingContext, call: Call): Milliseconds {
-  const { serviceTimes } = context
-  const neededMs = serviceTimes.quantileMs(call.kind, context.policyOf(call.kind).hopelessQuantile) ?? serviceTimes.meanServiceMsOf(call.kind)
-  const latestForTargetAt = (call.targetAt ?? call.deadlineAt) - neededMs
-  return latestForTargetAt > call.arrivedAt ? latestForTargetAt : call.deadlineAt - neededMs
+function codeFor (context: RoutingContext, call: Call, { delay, startAt, waitMs, latestStartAt }: StartEstimate): ResultCodeName | undefined {
+  if (startAt > latestStartAt) return delay === 'requestRate' ? 'rateLimited' : delay === 'none' ? undefined : 'deadlineUnreachable'
+  if (delay !== 'queue') return undefined
+  const leftMs = latestStartAt - context.clock.now()
+  return waitMs > leftMs * context.policyOf(call.kind).queueWaitShare ? 'deadlineUnreachable' : undefined
 }
--- a/packages/core/src/core/limits/rateAdmission.ts
+++ b/packages/core/src/core/limits/rateAdmission.ts
@@ -20,5 +20,5 @@
     requestsPerSecond += state.rateLimit.ownRequestsPerSecond
   }
   if (firstStartAt === Infinity) return undefined
-  return Math.max(firstStartAt, now) + queue.countBefore(call.kind) / requestsPerSecond * MS_PER_SECOND
+  return Math.max(firstStartAt, now) + queue.countBefore(call, now) / requestsPerSecond * MS_PER_SECOND
 }
--- a/packages/core/src/core/limits/retryAfter.ts
+++ b/packages/core/src/core/limits/retryAfter.ts
@@ -2,7 +2,7 @@
 import type { Call, CallResult } from '../../types/dispatch.js'
 import type { ResultCodeName } from '../../types/resultCode.js'
 import type { RoutingContext } from '../dispatch/routingContext.js'
-import { rateLimitedUntil } from './rateAdmission.js'
+import { estimateStart } from '../capacity/startEstimate.js'
 
 /** Upper bound of the retry-after time, as a share of the time until the deadline of the call. */
 const MAX_WAIT_SHARE = 1 / 3
@@ -17,14 +17,12 @@
 export function withRetryAfter (context: RoutingContext, call: Call, result: CallResult): CallResult {
   if (result.kind !== 'notRun' || !RETRYABLE_CODES.has(result.code)) return result
   const now = context.clock.now()
-  const retryAfterMs = Math.min(expectedWaitMs(context, call, now), (call.deadlineAt - now) * MAX_WAIT_SHARE)
+  const retryAfterMs = Math.min(expectedWaitMs(context, call), (call.deadlineAt - now) * MAX_WAIT_SHARE)
   return retryAfterMs >= MIN_WAIT_MS ? { ...result, retryAfterMs } : result
 }
 
-function expectedWaitMs (context: RoutingContext, call: Call, now: Milliseconds): Milliseconds {
-  const { queue, serviceTimes } = context
-  const limitedUntil = rateLimitedUntil(context, call)
-  if (limitedUntil !== undefined) return Math.max(MIN_WAIT_MS, limitedUntil - now)
-  if (queue.size === 0) return TYPICAL_RECOVERY_MS
-  return Math.max(MIN_WAIT_MS, queue.expectedWaitMs(call.kind, now, serviceTimes.meanServiceMs()))
+function expectedWaitMs (context: RoutingContext, call: Call): Milliseconds {
+  const { waitMs, delay } = estimateStart(context, call, context.serviceTimes.meanServiceMs())
+  if (delay === 'none') return TYPICAL_RECOVERY_MS
+  return Math.max(delay === 'pause' ? TYPICAL_RECOVERY_MS : MIN_WAIT_MS, waitMs)
 }
--- a/packages/core/src/core/limits/retryBudget.ts
+++ b/packages/core/src/core/limits/retryBudget.ts
@@ -38,13 +38,14 @@
     return this.tokens
   }
 
-  canRetry (): boolean {
-    return this.tokens >= 1
+  /** Whether a retry may start that leaves `reserve` retries in the budget. */
+  canRetry (reserve = 0): boolean {
+    return this.tokens >= 1 + reserve
   }
 
-  /** Expected time until a retry is earned at the current rate of calls; infinite until that rate is known. */
-  expectedWaitMs (): Milliseconds {
-    const missing = 1 - this.tokens
+  /** Expected time until a retry beyond `reserve` is earned at the current rate of calls; infinite until that rate is known. */
+  expectedWaitMs (reserve = 0): Milliseconds {
+    const missing = 1 + reserve - this.tokens
     if (missing <= 0) return 0
     if (this.intervalCount < MIN_INTERVALS) return Infinity
     return missing / this.policy.retryBudgetShare * this.intervalMs
--- a/packages/core/src/core/routing/upstreamChoice.ts
+++ b/packages/core/src/core/routing/upstreamChoice.ts
@@ -18,7 +18,7 @@
   for (const upstream of context.table.inUse()) refreshEstimates(context, upstream, now)
   const trial = findTrialUpstream(context, state, purpose, now)
   if (trial !== undefined) return { state: trial, isTrial: true }
-  const candidates = context.table.candidates(now, state.triedUpstreams)
+  const candidates = candidatesFor(context, state, now)
   if (candidates.length === 0) return undefined
   const pickContext = createPickContext(context, state, now)
   const picked = context.picker.pick(candidates, pickContext)
@@ -40,10 +40,16 @@
 /** Ranks the upstreams for a call by what is known now and returns the best `count`, best first. */
 export function rankUpstreams (context: RoutingContext, state: CallState, count: number): readonly UpstreamView[] {
   const now = context.clock.now()
-  const candidates = context.table.candidates(now, state.triedUpstreams)
+  const candidates = candidatesFor(context, state, now)
   return context.picker.rank?.(candidates, createPickContext(context, state, now), count) ?? []
 }
 
+/** Upstreams that accept new work and are not reserved for more urgent calls. */
+function candidatesFor ({ table, reservation }: RoutingContext, state: CallState, now: Milliseconds): UpstreamState[] {
+  const candidates = table.candidates(now, state.triedUpstreams)
+  return reservation.openTo(state.call.kind, candidates, () => table.working(now), now)
+}
+
 function refreshEstimates (context: RoutingContext, upstream: UpstreamState, now: Milliseconds): void {
   upstream.isUnresponsive = upstream.probeSentAt !== undefined && now - upstream.probeSentAt > context.policy.probeWaitMs
   context.serviceTimes.refreshServiceTime(upstream, now)
--- a/packages/core/src/types/dispatch.ts
+++ b/packages/core/src/types/dispatch.ts
@@ -107,6 +107,14 @@
   readonly rateHeldUpstreams: number
   /** Open upstreams whose latest report is recent enough to be used without a probe. */
   readonly freshReports: number
+  /** Expected wait on which the call was refused; undefined if it was not refused for that. */
+  readonly estimatedWaitMs?: Milliseconds | undefined
+  /** Time left at the refusal until the latest start with which the call would have been in time. */
+  readonly latestStartInMs?: Milliseconds | undefined
+  /** Waiting calls that would have started before it. */
+  readonly callsBefore?: number | undefined
+  /** Share of the upstreams that was reserved for more urgent calls; undefined if none was. */
+  readonly reservedShare?: number | undefined
 }
 
 /** A request rate that an upstream has named, changed or withdrawn. */
--- a/packages/core/src/types/dispatcherSnapshot.ts
+++ b/packages/core/src/types/dispatcherSnapshot.ts
@@ -50,6 +50,10 @@
   readonly queued: number
   /** Attempts in progress. */
   readonly running: number
+  /** Calls in the wait queue, by kind; kinds without any are left out. */
+  readonly queuedByKind: Readonly<Record<string, number>>
+  /** Share of the upstreams that is reserved for urgent kinds at present, from 0 to 1. */
+  readonly reservedShare: number
   readonly counters: DispatchCounters
   readonly upstreams: readonly UpstreamSnapshot[]
 }
