Refuse waiting calls earlier, and show waiting calls and reserved upstreams

A bulk call whose kind had few departures was admitted on the departures of all kinds and refused late: half of the bulk calls had waited half of the time to their target. The time since the backlog of the kind began now bounds the estimate from below. Where all upstreams pause, Retry-After is the time to the end of the first pause, not a third of the time to the deadline.

--- a/packages/core/src/core/capacity/departureRate.ts
+++ b/packages/core/src/core/capacity/departureRate.ts
@@ -8,6 +8,7 @@
   private meanMs: Milliseconds | undefined
   private departureCount = 0
   private lastAt: Milliseconds = 0
+  private backlogSince: Milliseconds = 0
 
   private constructor () {}
 
@@ -18,6 +19,7 @@
   /** Starts over when the queue becomes non-empty: the idle time before it is unrelated to the rate. */
   onBacklogStart (now: Milliseconds): void {
     this.lastAt = now
+    this.backlogSince = now
     this.departureCount = 0
     this.meanMs = undefined
   }
@@ -31,6 +33,11 @@
     this.meanMs = (this.meanMs ?? intervalMs) + (intervalMs - (this.meanMs ?? intervalMs)) * weight
   }
 
+  /** Mean time to a departure by the few of this backlog, the next one included; grows while none comes. */
+  earlyIntervalMs (now: Milliseconds): Milliseconds {
+    return (now - this.backlogSince) / (this.departureCount + 1)
+  }
+
   /** Undefined before enough departures. The time since the last one counts once half of it exceeds the mean. */
   meanIntervalMs (now: Milliseconds): Milliseconds | undefined {
     if (this.meanMs === undefined || this.departureCount < MIN_DEPARTURES) return undefined
--- a/packages/core/src/core/capacity/waitQueue.ts
+++ b/packages/core/src/core/capacity/waitQueue.ts
@@ -139,7 +139,10 @@
     const kindIntervalMs = sizeOf(kindQueue) === 0 ? undefined : kindQueue.departures.meanIntervalMs(now)
     if (kindIntervalMs !== undefined) return (countWithin(kindQueue, call.customer) + 1) * kindIntervalMs
     const intervalMs = this.waiting === 0 ? startIntervalMs : this.departures.meanIntervalMs(now) ?? startIntervalMs
-    return (this.countBefore(call, now) + 1) * intervalMs
+    const waitMs = (this.countBefore(call, now) + 1) * intervalMs
+    if (!this.isDifferentiated || sizeOf(kindQueue) === 0) return waitMs
+    // Urgent calls that arrive later also start before this one, so the kind's own departures count from the first one on.
+    return Math.max(waitMs, (countWithin(kindQueue, call.customer) + 1) * kindQueue.departures.earlyIntervalMs(now))
   }
 
   /** Number of waiting calls that start before a new call. */
@@ -180,8 +183,7 @@
     if (!this.isDifferentiated || this.work.latestStartAt === undefined) return []
     const hopeless: CallState[] = []
     for (const { departures, inTime, late } of this.queues.values()) {
-      const intervalMs = departures.meanIntervalMs(now)
-      if (intervalMs === undefined) continue
+      const intervalMs = departures.meanIntervalMs(now) ?? departures.earlyIntervalMs(now)
       let before = 0
       for (const state of [...inTime.inOrder(), ...late.inOrder()]) {
         const leftMs = this.work.latestStartAt(state.call) - now
--- a/packages/core/src/core/dispatch/callEngine.ts
+++ b/packages/core/src/core/dispatch/callEngine.ts
@@ -25,6 +25,7 @@
   private readonly waiting: WaitingCalls
   private isStartingCalls = false
   private nextReviewAt: Milliseconds = 0
+  private isReserving = false
 
   private constructor (private readonly context: RoutingContext) {
     this.runner = AttemptRunner.create(context, this, () => this.waitingCalls)
@@ -242,12 +243,20 @@
     return true
   }
 
+  private notifyOfReservation (now: Milliseconds): void {
+    const reservedShare = this.context.reservation.largestShare(now)
+    if ((reservedShare > 0) === this.isReserving) return
+    this.isReserving = reservedShare > 0
+    this.context.port.onReservation?.({ reservedShare, queuedByKind: this.context.queue.countByKind() })
+  }
+
   /** Refuses the waiting calls that are not expected to start in time any more. */
   private refuseHopeless (): void {
     const { context } = this
     const now = context.clock.now()
     if (now < this.nextReviewAt) return
     this.nextReviewAt = now + REVIEW_INTERVAL_MS
+    this.notifyOfReservation(now)
     for (const state of context.queue.findHopeless(now)) {
       const estimate = estimateStart(context, state.call, context.serviceTimes.meanServiceMs())
       this.finish(state, { kind: 'notRun', code: 'deadlineUnreachable' }, estimate)
--- a/packages/core/src/core/limits/retryAfter.ts
+++ b/packages/core/src/core/limits/retryAfter.ts
@@ -1,4 +1,3 @@
-import type { Milliseconds } from '../../types/clock.js'
 import type { Call, CallResult } from '../../types/dispatch.js'
 import type { ResultCodeName } from '../../types/resultCode.js'
 import type { RoutingContext } from '../dispatch/routingContext.js'
@@ -17,12 +16,10 @@
 export function withRetryAfter (context: RoutingContext, call: Call, result: CallResult): CallResult {
   if (result.kind !== 'notRun' || !RETRYABLE_CODES.has(result.code)) return result
   const now = context.clock.now()
-  const retryAfterMs = Math.min(expectedWaitMs(context, call), (call.deadlineAt - now) * MAX_WAIT_SHARE)
-  return retryAfterMs >= MIN_WAIT_MS ? { ...result, retryAfterMs } : result
-}
-
-function expectedWaitMs (context: RoutingContext, call: Call): Milliseconds {
   const { waitMs, delay } = estimateStart(context, call, context.serviceTimes.meanServiceMs())
-  if (delay === 'none') return TYPICAL_RECOVERY_MS
-  return Math.max(delay === 'pause' ? TYPICAL_RECOVERY_MS : MIN_WAIT_MS, waitMs)
+  // The end of a pause is known; any repeat before it would be refused again.
+  if (delay === 'pause') return { ...result, retryAfterMs: Math.max(MIN_WAIT_MS, waitMs) }
+  const expectedMs = delay === 'none' ? TYPICAL_RECOVERY_MS : Math.max(MIN_WAIT_MS, waitMs)
+  const retryAfterMs = Math.min(expectedMs, (call.deadlineAt - now) * MAX_WAIT_SHARE)
+  return retryAfterMs >= MIN_WAIT_MS ? { ...result, retryAfterMs } : result
 }
--- a/packages/core/src/types/dispatch.ts
+++ b/packages/core/src/types/dispatch.ts
@@ -134,6 +134,14 @@
   readonly probes: number
 }
 
+/** Upstreams begin or cease to be reserved for urgent kinds of request. */
+export interface ReservationChange {
+  /** Largest share of the upstreams that a kind leaves to more urgent ones; 0 once none is reserved. */
+  readonly reservedShare: number
+  /** Calls in the wait queue, by kind. */
+  readonly queuedByKind: Readonly<Record<string, number>>
+}
+
 /** Implemented by the dispatcher's host, which carries out attempts and returns results to callers. */
 export interface DispatchPort {
   startAttempt (attempt: Attempt): void
@@ -152,4 +160,6 @@
   shareSuspects? (marks: readonly SuspectMark[]): void
   /** Notified when an upstream names, changes or withdraws a request rate. */
   onRateLimit? (change: RateLimitChange): void
+  /** Notified when upstreams begin or cease to be reserved for urgent kinds. */
+  onReservation? (change: ReservationChange): void
 }
--- a/packages/daemon/src/core/operators/metrics.ts
+++ b/packages/daemon/src/core/operators/metrics.ts
@@ -2,6 +2,7 @@
 import type { FleetSnapshot } from '../feed/fleet.js'
 import type { ServiceForwarder } from '../upstreams/serviceForwarder.js'
 import type { ServiceCounters } from '../upstreams/serviceCounters.js'
+import { createQueuedByRouteGauge } from './capacityMetrics.js'
 import type { ComponentState } from '../supervision/supervisor.js'
 
 /** Source of the metric values, read on each scrape. */
@@ -39,6 +40,8 @@
     this.addServiceGauge('cowsliplead_service_calls_in_flight', 'Calls in flight, by service', forwarder => forwarder.callsInFlight)
     this.addServiceGauge('cowsliplead_connections', 'Connections to upstreams', forwarder => forwarder.connectionCount)
     this.addServiceGauge('cowsliplead_queued_calls', 'Calls waiting for an upstream', forwarder => forwarder.dispatcher.snapshot().queued)
+    this.registry.registerMetric(createQueuedByRouteGauge(() => source.forwarders()))
+    this.addServiceGauge('cowsliplead_reserved_upstream_share', 'Share of the upstreams reserved for urgent routes', forwarder => forwarder.dispatcher.snapshot().reservedShare)
     this.addServiceGauge('cowsliplead_probes', 'Dedicated load probes since the start', forwarder => forwarder.dispatcher.snapshot().counters.probes)
     this.addServiceGauge('cowsliplead_registered_upstreams', 'Registered upstreams', forwarder => forwarder.upstreamCounts.registered)
     this.addServiceGauge('cowsliplead_used_upstreams', 'Registered upstreams that this VM uses', forwarder => forwarder.upstreamCounts.used)
--- a/packages/daemon/src/core/upstreams/serviceForwarder.ts
+++ b/packages/daemon/src/core/upstreams/serviceForwarder.ts
@@ -1,4 +1,4 @@
-import type { Attempt, AttemptEnd, CallResult, CancelReason, DispatchPort, RateLimitChange, ResultDiagnostics } from '@cowsliplead/core/types/dispatch.js'
+import type { Attempt, AttemptEnd, CallResult, CancelReason, DispatchPort, RateLimitChange, ReservationChange, ResultDiagnostics } from '@cowsliplead/core/types/dispatch.js'
 import type { Clock, Milliseconds } from '@cowsliplead/core/types/clock.js'
 import type { SuspectMark } from '@cowsliplead/core/types/suspectMark.js'
 import type { PolicyExceptions, RoutingPolicy } from '@cowsliplead/core/types/routingPolicy.js'
@@ -38,6 +38,8 @@
   onUpstreams (registered: number, used: number): void
   /** An upstream has named, changed or withdrawn a request rate. */
   onRateLimit (change: RateLimitChange): void
+  /** Upstreams begin or cease to be reserved for urgent kinds. */
+  onReservation (change: ReservationChange): void
 }
 
 /** An attempt in progress and the pool that its connection returns to. */
@@ -91,6 +93,10 @@
     this.options.observer?.onRateLimit(change)
   }
 
+  onReservation (change: ReservationChange): void {
+    this.options.observer?.onReservation(change)
+  }
+
   /** Number of calls without a result. */
   get callsInFlight (): number {
     return this.calls.size
