Keep to the warm-up rate of cold upstreams, over all VMs together

A failure domain that came back cold got as much as its free slots attracted from every VM: nothing bounded the sum, and requests above what cold upstreams take crash them. The rate of the service's configuration now limits requests to an upstream while it is cold, divided among the VMs by the same holders and token buckets as the rates that upstreams name. Heartbeats and health responses that tell of a new warm-up in the middle of a life are noticed.

Services without warm-up settings are served as before.

--- a/packages/core/src/core/dispatch/dispatcher.ts
+++ b/packages/core/src/core/dispatch/dispatcher.ts
@@ -2,6 +2,7 @@
 import type { AttemptEnd, Call } from '../../types/dispatch.js'
 import type { DispatcherSnapshot } from '../../types/dispatcherSnapshot.js'
 import { NO_POLICY_EXCEPTIONS, type PolicyExceptions, type RoutingPolicy } from '../../types/routingPolicy.js'
+import type { Warmup } from '../../types/routes.js'
 import type { LoadReport, RateNotice, Upstream } from '../../types/upstream.js'
 import { AttemptEventHandler } from './attemptEventHandler.js'
 import { CallEngine } from './callEngine.js'
@@ -86,6 +87,17 @@
     if (state !== undefined) this.attemptEvents.onRateNotice(state, notice)
   }
 
+  /** Sets what a cold upstream of the service takes from all VMs together; undefined without a limit. */
+  setWarmup (warmup: Warmup | undefined): void {
+    this.context.table.setWarmup(warmup)
+    this.engine.startWaitingCalls()
+  }
+
+  /** Handles an upstream's statement that it stays cold for `warmupLeftMs`. */
+  onWarmupNotice (upstreamId: string, warmupLeftMs: Milliseconds): void {
+    this.context.table.get(upstreamId)?.rateLimit.setColdUntil(this.context.clock.now() + warmupLeftMs)
+  }
+
   /** Records that bytes of a response arrived or were accepted by the caller. */
   onAttemptProgress (attemptId: number): void {
     const attempt = this.engine.attempts.get(attemptId)
--- a/packages/core/src/core/dispatch/selectionSnapshot.ts
+++ b/packages/core/src/core/dispatch/selectionSnapshot.ts
@@ -16,7 +16,7 @@
     expectedMs: context.serviceTimes.expectedServiceMs(kind, target, now),
     waitingCalls,
     requestsPerSecond: rateLimit.requestsPerSecond,
-    ownRequestsPerSecond: rateLimit.isLimited ? rateLimit.ownRequestsPerSecond : undefined,
+    ownRequestsPerSecond: rateLimit.isLimited(now) ? rateLimit.ownRequestsPerSecond(now) : undefined,
     rateHeldUpstreams: context.table.countRateHeld(now) || undefined
   }
 }
--- a/packages/core/src/core/health/upstreamTable.ts
+++ b/packages/core/src/core/health/upstreamTable.ts
@@ -2,6 +2,7 @@
 import type { UpstreamSnapshot } from '../../types/dispatcherSnapshot.js'
 import type { RandomSource } from '../../types/randomSource.js'
 import { NO_POLICY_EXCEPTIONS, type PolicyExceptions, type RoutingPolicy } from '../../types/routingPolicy.js'
+import type { Warmup } from '../../types/routes.js'
 import type { LoadReport, Upstream } from '../../types/upstream.js'
 import { wholeShare } from '../limits/fleetShare.js'
 import { UNDIVIDED_RATES, type RateDivision } from '../limits/rateDivision.js'
@@ -34,6 +35,7 @@
   private subsetFactor = 1
   private entryRank = 0
   private entryCount = 1
+  private warmup: Warmup | undefined
   private exceptions = NO_POLICY_EXCEPTIONS.upstreams
 
   private constructor (private policy: RoutingPolicy, private readonly localVm: LocalVm) {}
@@ -58,6 +60,12 @@
     return this.used
   }
 
+  /** Sets what a cold upstream takes from all VMs together; undefined without a limit. */
+  setWarmup (warmup: Warmup | undefined): void {
+    this.warmup = warmup
+    for (const { rateLimit } of this.states.values()) rateLimit.setWarmup(warmup)
+  }
+
   setUpstreams (upstreams: readonly Upstream[], now: Milliseconds): void {
     const upstreamIds = new Set(upstreams.map(upstream => upstream.id))
     for (const id of this.states.keys()) {
@@ -135,6 +143,7 @@
       warmth: state.warmth,
       reportTrust: state.reportTrust,
       requestsPerSecond: state.rateLimit.requestsPerSecond,
+      isCold: state.rateLimit.isCold(now),
       draining: isDraining(state, now),
       ejected: state.isEjected,
       attempts: state.attempts,
@@ -152,6 +161,7 @@
     // What was learned about an upstream does not apply to a new process under the same id.
     if (known !== undefined && known.upstream.incarnation === upstream.incarnation) {
       known.upstream = upstream
+      known.rateLimit.setColdUntil(upstream.warmAt ?? -Infinity)
       return
     }
     // Upstreams listed before the first call count as warm: a restarted entry VM must not throttle a whole service.
@@ -159,6 +169,8 @@
     const { vmId, random, rateDivision = UNDIVIDED_RATES } = this.localVm
     const preference = preferenceOf(vmId, upstream.id)
     const rateLimit = UpstreamRateLimit.create({ upstream, division: rateDivision, random })
+    rateLimit.setWarmup(this.warmup)
+    rateLimit.setColdUntil(upstream.warmAt ?? -Infinity)
     this.states.set(upstream.id, UpstreamState.create({ upstream, preference, slowStartedAt, policy: this.policyOf(upstream.id), rateLimit }))
   }
 
--- a/packages/core/src/core/limits/rateAdmission.ts
+++ b/packages/core/src/core/limits/rateAdmission.ts
@@ -15,9 +15,9 @@
   let requestsPerSecond = 0
   for (const state of table.inUse()) {
     if (isDraining(state, now)) continue
-    if (!state.rateLimit.isLimited) return undefined
+    if (!state.rateLimit.isLimited(now)) return undefined
     firstStartAt = Math.min(firstStartAt, state.rateLimit.nextStartAt(now))
-    requestsPerSecond += state.rateLimit.ownRequestsPerSecond
+    requestsPerSecond += state.rateLimit.ownRequestsPerSecond(now)
   }
   if (firstStartAt === Infinity) return undefined
   return Math.max(firstStartAt, now) + queue.countBefore(call.kind) / requestsPerSecond * MS_PER_SECOND
--- a/packages/core/src/core/membership/upstreamDirectory.ts
+++ b/packages/core/src/core/membership/upstreamDirectory.ts
@@ -18,6 +18,9 @@
 /** How long removed upstreams are remembered; far longer than the age of a copy from which the store is restored. */
 const REMOVED_KEPT_MS: Milliseconds = 600_000
 
+/** Heartbeats are read with varying delay, so that they give slightly different ends of one warm-up. */
+const WARMUP_TOLERANCE_MS: Milliseconds = 1000
+
 /** Incarnation of entries that do not state when the upstream started. */
 const UNKNOWN_INCARNATION = 0
 
@@ -70,7 +73,7 @@
     if (this.isOutdated(entry)) return 'ignored'
     const known = this.known.get(entry.id)
     this.removed.delete(entry.id)
-    const change = classifyChange(known, entry)
+    const change = classifyChange(known, entry, now)
     const warmAt = change === 'renewed' ? (known as KnownUpstream).warmAt : now + entry.warmupLeftMs
     this.known.set(entry.id, { entry, warmAt, missingSince: undefined })
     if (change !== 'renewed') this.cachedList = undefined
@@ -143,15 +146,20 @@
   return known.state === 'leaving' && entry.state === 'live'
 }
 
-function classifyChange (known: KnownUpstream | undefined, entry: UpstreamEntry): DirectoryChange {
+function classifyChange (known: KnownUpstream | undefined, entry: UpstreamEntry, now: Milliseconds): DirectoryChange {
   if (known === undefined) return 'added'
   const before = known.entry
   if (before.incarnation !== entry.incarnation) return 'restarted'
   if (before.state === 'live' && entry.state === 'leaving') return 'draining'
-  return hasSameContent(before, entry) ? 'renewed' : 'updated'
+  return hasSameContent(before, entry) && !hasBecomeCold(known, entry, now) ? 'renewed' : 'updated'
+}
+
+/** Whether a later heartbeat tells of a longer warm-up than was known. */
+function hasBecomeCold ({ entry: before, warmAt }: KnownUpstream, { sequence, warmupLeftMs }: UpstreamEntry, now: Milliseconds): boolean {
+  return sequence > before.sequence && warmupLeftMs > 0 && now + warmupLeftMs > warmAt + WARMUP_TOLERANCE_MS
 }
 
-/** Whether a heartbeat changes nothing. The remaining warm-up is not compared because it decreases with time anyway. */
+/** Whether a heartbeat changes nothing but the remaining warm-up, which decreases with time. */
 function hasSameContent (one: UpstreamEntry, other: UpstreamEntry): boolean {
   return one.service === other.service && one.address === other.address && one.port === other.port &&
     one.failureDomain === other.failureDomain && one.slots === other.slots && one.state === other.state
--- a/packages/core/src/core/routing/loadProbes.ts
+++ b/packages/core/src/core/routing/loadProbes.ts
@@ -76,7 +76,7 @@
       .filter(({ upstream }) => upstream.failureDomain === ranked[0]?.upstream.failureDomain)
       .filter(({ report }) => report === undefined || report.receivedAt < oldest)
       .map(({ upstream }) => table.get(upstream.id) as UpstreamState)
-      .filter(({ rateLimit }) => !rateLimit.isLimited)
+      .filter(({ rateLimit }) => !rateLimit.isLimited(clock.now()))
   }
 
   /** Starts a probe unless one is under way. Returns false if the last one is overdue or the budget is exhausted. */
--- a/packages/core/src/core/routing/upstreamChoice.ts
+++ b/packages/core/src/core/routing/upstreamChoice.ts
@@ -74,7 +74,7 @@
 }
 
 function sendProbes (context: RoutingContext, candidates: readonly UpstreamState[], pickContext: PickContext): void {
-  const probed = candidates.filter(({ rateLimit }) => !rateLimit.isLimited)
+  const probed = candidates.filter(({ rateLimit }) => !rateLimit.isLimited(pickContext.now))
   const targets = context.picker.selectProbeTargets?.(probed, pickContext) ?? []
   for (const upstreamId of targets) {
     if (!context.probeBudget.trySpend(context.policy.probeBytes, pickContext.now)) return
--- a/packages/core/src/types/dispatcherSnapshot.ts
+++ b/packages/core/src/types/dispatcherSnapshot.ts
@@ -37,6 +37,8 @@
   readonly reportTrust: number
   /** Requests per second that it takes from all VMs together; undefined if it names no limit. */
   readonly requestsPerSecond: number | undefined
+  /** Whether it is cold and its service limits the requests to cold upstreams. */
+  readonly isCold: boolean
   readonly draining: boolean
   readonly ejected: boolean
   readonly attempts: number
--- a/packages/daemon/src/core/control/controlState.ts
+++ b/packages/daemon/src/core/control/controlState.ts
@@ -201,7 +201,7 @@
     const entry = record.value === undefined ? undefined : store.decodeUpstream(record)
     const change = entry === undefined ? this.directory.remove(record.key, now) : this.directory.put(entry, now)
     if (change !== 'renewed' && change !== 'ignored') {
-      logger.info('upstream changed', { upstream: record.key, change, service: entry?.service, incarnation: entry?.incarnation })
+      logger.info('upstream changed', { upstream: record.key, change, service: entry?.service, incarnation: entry?.incarnation, warmupLeftMs: entry?.warmupLeftMs || undefined })
     }
     return change
   }
--- a/packages/daemon/src/core/gateway/gatewayServices.ts
+++ b/packages/daemon/src/core/gateway/gatewayServices.ts
@@ -140,6 +140,7 @@
     this.forwardersByService.set(target.name, forwarder)
     forwarder.setPolicy(policy, exceptions)
     forwarder.setHealthPath(target.healthPath)
+    forwarder.dispatcher.setWarmup(target.warmup)
     this.updateUpstreams(forwarder)
   }
 
--- a/packages/daemon/src/core/operators/metrics.ts
+++ b/packages/daemon/src/core/operators/metrics.ts
@@ -45,6 +45,7 @@
     this.addServiceGauge('cowsliplead_ejected_upstreams', 'Ejected upstreams, which receive trial calls only', forwarder => countUpstreams(forwarder, 'ejected'))
     this.addServiceGauge('cowsliplead_draining_upstreams', 'Draining upstreams, which receive no new calls', forwarder => countUpstreams(forwarder, 'draining'))
     this.addServiceGauge('cowsliplead_rate_limited_upstreams', 'Upstreams that name a request rate', countRateLimited)
+    this.addServiceGauge('cowsliplead_cold_upstreams', 'Upstreams that are cold and get a limited number of requests', forwarder => countUpstreams(forwarder, 'isCold'))
     this.addGauge('cowsliplead_config_revision', 'Version of the configuration in force', () => source.configVersion())
     this.addGauge('cowsliplead_rejected_config_entries', 'Entries of the configuration in force that cannot be used', () => source.rejectedEntries())
     this.addGauge('cowsliplead_unreadable_configs', 'Configurations since the start that could not be used at all', () => source.unreadableConfigs())
@@ -148,7 +149,7 @@
   }
 }
 
-function countUpstreams (forwarder: ServiceForwarder, state: 'ejected' | 'draining'): number {
+function countUpstreams (forwarder: ServiceForwarder, state: 'ejected' | 'draining' | 'isCold'): number {
   return forwarder.dispatcher.snapshot().upstreams.filter(upstream => upstream[state]).length
 }
 
--- a/packages/daemon/src/core/upstreams/serviceForwarder.ts
+++ b/packages/daemon/src/core/upstreams/serviceForwarder.ts
@@ -10,7 +10,7 @@
 import type { ActiveCall } from '../callers/activeCall.js'
 import { UpstreamConnections } from './upstreamConnections.js'
 import type { ConnectionPool } from './connectionPool.js'
-import { UpstreamProbe } from './upstreamProbe.js'
+import { UpstreamProbe, type ProbeReport } from './upstreamProbe.js'
 import { ServiceCounters } from './serviceCounters.js'
 import type { TickTimer } from '../supervision/tickTimer.js'
 
@@ -228,12 +228,17 @@
     if (connections === undefined || connection === undefined) return
     UpstreamProbe.send({ connection, path: healthPath, upstreamId, dialect, clock }, result => {
       connections.release(connection)
-      if (result.kind === 'report') this.dispatcher.onProbeReport(upstreamId, result.report, result.rateNotice)
+      if (result.kind === 'report') this.onProbeReport(upstreamId, result)
       else this.dispatcher.onProbeFailed(upstreamId)
       this.rescheduleTick()
     })
   }
 
+  private onProbeReport (upstreamId: string, { report, rateNotice, warmupLeftMs }: ProbeReport): void {
+    if (warmupLeftMs !== undefined) this.dispatcher.onWarmupNotice(upstreamId, warmupLeftMs)
+    this.dispatcher.onProbeReport(upstreamId, report, rateNotice)
+  }
+
   /** Reports progress for attempts that wait for a slow caller, so that they are not treated as stalled. */
   reportProgressOfWaiting (): void {
     for (const attempt of this.paused) this.onProgress(attempt)
--- a/packages/daemon/src/core/upstreams/upstreamProbe.ts
+++ b/packages/daemon/src/core/upstreams/upstreamProbe.ts
@@ -8,10 +8,17 @@
 /** Time after which a probe has failed and its connection is closed, because it may be broken. */
 const PROBE_TIMEOUT_MS: Milliseconds = 250
 
+/** What the response to a probe says. */
+export interface ProbeReport {
+  readonly kind: 'report'
+  readonly report: LoadReport
+  readonly rateNotice: RateNotice | undefined
+  /** How long the upstream stays cold; undefined if it does not say. */
+  readonly warmupLeftMs: Milliseconds | undefined
+}
+
 /** Result of a probe. `failed`: the upstream was not reached or sent no load report, or a different one answered. */
-export type ProbeResult =
-  | { readonly kind: 'report', readonly report: LoadReport, readonly rateNotice: RateNotice | undefined }
-  | { readonly kind: 'failed' }
+export type ProbeResult = ProbeReport | { readonly kind: 'failed' }
 
 /** Options of a probe. */
 export interface UpstreamProbeOptions {
@@ -26,6 +33,7 @@
 export class UpstreamProbe implements ExchangeHandler {
   private report: LoadReport | undefined
   private rateNotice: RateNotice | undefined
+  private warmupLeftMs: Milliseconds | undefined
   private readonly timer: NodeJS.Timeout
 
   private constructor (private readonly options: UpstreamProbeOptions, private readonly done: (result: ProbeResult) => void) {
@@ -52,6 +60,7 @@
     connection.idleTimeoutMs = metadata.idleTimeoutMs
     if (!metadata.isFromOtherUpstream) this.report = metadata.report
     this.rateNotice = metadata.rateNotice
+    this.warmupLeftMs = metadata.warmupLeftMs
     return 'accept'
   }
 
@@ -75,7 +84,7 @@
 
   private end (): void {
     clearTimeout(this.timer)
-    const { report, rateNotice } = this
-    this.done(report === undefined ? { kind: 'failed' } : { kind: 'report', report, rateNotice })
+    const { report, rateNotice, warmupLeftMs } = this
+    this.done(report === undefined ? { kind: 'failed' } : { kind: 'report', report, rateNotice, warmupLeftMs })
   }
 }
