Require customers' keys, and serve customers by their priority

Configurations can have customers, but requests were served without a key and the caller's Authorization header reached upstreams.

- A directory of customers by key digest is built once for each configuration; a look-up costs one hash.
Unknown keys get 401, keys of unusable customers and keys that several customers have get 503.
- Where the configuration has customers, the headers that identify a customer are removed from requests on all routes, and upstreams get the customer's name.
- A request kind for each route and priority; kinds of one name wait apart by priority, and share learned times and policy exceptions.
- Log lines of a request name the customer; cowsliplead_key_refusals_total counts refusals by result.

Without customers, requests are forwarded as before.

--- a/packages/core/__tests__/waitQueue.test.ts
+++ b/packages/core/__tests__/waitQueue.test.ts
@@ -29,6 +29,17 @@
     expect(served.get('dump')).to.be.within(9, 11)
   })
 
+  // Guards against one customer's priority that applies to the waiting calls of another one on the same route.
+  it('keeps kinds of one route that differ in priority apart', () => {
+    const queue = WaitQueue.create(DEFAULT_ROUTING_POLICY, () => 5)
+    const [urgent, ordinary] = [{ ...LOOKUP, priority: 0, weight: 1 }, { ...LOOKUP, priority: 4, weight: 1 / 16 }]
+    const [first, second] = [waiting(ordinary, 1), waiting(urgent, 2)]
+    for (const state of [first, second]) queue.push(state, 0)
+    expect(queue.countBefore(urgent)).to.equal(1)
+    expect(queue.next()).to.equal(second)
+    expect([queue.remove(second), queue.next(), queue.remove(first), queue.size]).to.deep.equal([true, first, true, 0])
+  })
+
   // Guards against reordering calls of the same kind.
   it('keeps the order of arrival within a kind', () => {
     const queue = WaitQueue.create(DEFAULT_ROUTING_POLICY, () => 5)
--- a/packages/core/src/core/limits/waitQueue.ts
+++ b/packages/core/src/core/limits/waitQueue.ts
@@ -91,7 +91,7 @@
 
   /** Removes a call that will not start. Returns whether it was waiting. */
   remove (state: CallState): boolean {
-    const removed = this.queues.get(state.call.kind.name)?.calls.delete(state) ?? false
+    const removed = this.queues.get(queueKeyOf(state.call.kind))?.calls.delete(state) ?? false
     if (removed) this.waiting -= 1
     return removed
   }
@@ -156,10 +156,16 @@
   }
 
   private queueOf (kind: RequestKind): KindQueue {
-    const known = this.queues.get(kind.name)
+    const key = queueKeyOf(kind)
+    const known = this.queues.get(key)
     if (known !== undefined && known.kind === kind) return known
     const created: KindQueue = { kind, calls: known?.calls ?? new Set(), departures: known?.departures ?? DepartureRate.create(), creditMs: known?.creditMs ?? 0 }
-    this.queues.set(kind.name, created)
+    this.queues.set(key, created)
     return created
   }
 }
+
+/** Kinds of one route that differ in priority wait apart from each other. */
+function queueKeyOf ({ name, priority }: RequestKind): string {
+  return priority === undefined ? name : `${name} ${priority}`
+}
--- a/packages/core/src/types/routes.ts
+++ b/packages/core/src/types/routes.ts
@@ -78,6 +78,8 @@
   readonly limits: CallerLimits
   /** Customers by name; undefined if the configuration has none, and requests need no key. */
   readonly customers?: ReadonlyMap<string, Customer> | undefined
+  /** Digests of keys that several customers have; requests with them are refused as not run. */
+  readonly sharedKeyDigests?: readonly string[] | undefined
   /** Entries that were left out or replaced by defaults. */
   readonly rejectedEntries?: readonly RejectedEntry[]
 }
--- a/packages/daemon/src/core/callers/callerSink.ts
+++ b/packages/daemon/src/core/callers/callerSink.ts
@@ -9,6 +9,8 @@
 /** Above this size, copying a body costs more than a second write. */
 const MAX_SINGLE_WRITE_BODY_BYTES = 8 * 1024
 
+const UNAUTHORIZED = 401
+
 /** Options of a caller sink. */
 export interface CallerSinkOptions {
   readonly requestId: string
@@ -78,6 +80,8 @@
       CODE_HEADER, String(number),
       ...dialect.addedResponseHeaders(requestId)
     ]
+    // RFC 9110 section 15.5.2: a 401 names the scheme that would be accepted.
+    if (status === UNAUTHORIZED) headers.push('www-authenticate', 'Bearer')
     if (retryAfterMs !== undefined) headers.push('retry-after', dialect.retryAfter(retryAfterMs))
     // If the response precedes the end of the request body, the rest of the body must not be read as the next request.
     const isUploading = hasBody(this.response.req) && !this.response.req.complete
--- a/packages/daemon/src/core/callers/proxy.ts
+++ b/packages/daemon/src/core/callers/proxy.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import type { Clock, Milliseconds } from '@cowsliplead/core/types/clock.js'
+import type { Customer } from '@cowsliplead/core/types/customer.js'
 import type { Call } from '@cowsliplead/core/types/dispatch.js'
 import type { RequestKind } from '@cowsliplead/core/types/requestKind.js'
 import type { ResultCodeName } from '@cowsliplead/core/types/resultCode.js'
@@ -20,10 +21,14 @@
 /** After this time, a caller that a stopping VM has refused may send its request to another one. */
 const STOPPING_RETRY_MS: Milliseconds = 20
 
-/** The service that a request is routed to, and its kind. */
+/** The service that a request is routed to, its kind and its customer. */
 export interface RequestTarget {
   readonly forwarder: ServiceForwarder
   readonly kind: RequestKind
+  /** Undefined if the request needs no key. */
+  readonly customer?: Customer | undefined
+  /** Whether the headers that identify a customer are removed from the request; the upstream learns its name only. */
+  readonly hidesCredentials: boolean
 }
 
 /** Options of the proxy. */
@@ -60,9 +65,12 @@
   /** Number of requests whose response has not been fully sent. */
   inFlight = 0
   private readonly pipelines: PipelineCounter
+  private readonly unforwardedHeaders: ReadonlySet<string>
 
   private constructor (private readonly options: ProxyOptions) {
-    this.pipelines = PipelineCounter.create(options.clock)
+    const { clock, dialect } = options
+    this.pipelines = PipelineCounter.create(clock)
+    this.unforwardedHeaders = new Set([...dialect.strippedRequestHeaders, ...dialect.credentialHeaders])
   }
 
   static create (options: ProxyOptions): Proxy {
@@ -128,7 +136,7 @@
     const callRequest = {
       method: request.method as string,
       path: request.url as string,
-      headers: requestHeaders(request.rawHeaders, request.headers.connection, dialect.strippedRequestHeaders),
+      headers: this.headersFor(routed),
       body,
       requestId
     }
@@ -138,6 +146,15 @@
     forwarder.submit(activeCall)
   }
 
+  /** The caller's headers that are forwarded, and the name of its customer. */
+  private headersFor ({ request, target: { customer, hidesCredentials } }: RoutedRequest): string[] {
+    const { dialect } = this.options
+    const dropped = hidesCredentials ? this.unforwardedHeaders : dialect.strippedRequestHeaders
+    const headers = requestHeaders(request.rawHeaders, request.headers.connection, dropped)
+    if (customer !== undefined) headers.push(...dialect.customerHeaders(customer.name))
+    return headers
+  }
+
   private cancelOnClose (routed: RoutedRequest, cancel: () => void): void {
     routed.response.once('close', () => {
       if (!routed.response.writableFinished) cancel()
@@ -145,10 +162,11 @@
   }
 
   private createCall (routed: RoutedRequest, body: RequestBody): Call {
-    const { request, target: { kind }, arrivedAt, deadlineAt } = routed
+    const { request, target: { kind, customer }, arrivedAt, deadlineAt } = routed
     return {
       id: this.options.ids.nextCallId(),
       kind,
+      customer: customer?.name,
       arrivedAt,
       deadlineAt,
       targetAt: kind.targetMs === undefined ? undefined : arrivedAt + kind.targetMs,
--- /dev/null
+++ b/packages/daemon/src/core/customers/authenticator.ts
@@ -0,0 +1,44 @@
+import type { IncomingHttpHeaders } from 'node:http'
+import { CustomerDirectory } from '@cowsliplead/core/core/customers/customerDirectory.js'
+import type { Customer } from '@cowsliplead/core/types/customer.js'
+import type { ResultCodeName } from '@cowsliplead/core/types/resultCode.js'
+import type { Route, RouteConfig } from '@cowsliplead/core/types/routes.js'
+import type { Dialect } from '../../types/dialect.js'
+
+/** Identifies the customer of each request by its key, where the configuration has customers. */
+export class Authenticator {
+  /** Requests since the start that were refused for their key, by result code. */
+  readonly refusals = new Map<ResultCodeName, number>()
+  private directory: CustomerDirectory | undefined
+
+  private constructor (private readonly dialect: Pick<Dialect, 'credential'>) {}
+
+  static create (dialect: Pick<Dialect, 'credential'>): Authenticator {
+    return new Authenticator(dialect)
+  }
+
+  /** Whether the configuration has customers; requests then carry keys, which must not reach upstreams. */
+  get isActive (): boolean {
+    return this.directory !== undefined
+  }
+
+  /** Applies the customers of a new configuration. */
+  setConfig (config: RouteConfig): void {
+    this.directory = CustomerDirectory.create(config)
+  }
+
+  /** The customer of a request to `route`, undefined if it needs none, or the result code with which it is refused. */
+  identify (headers: IncomingHttpHeaders, route: Route): Customer | ResultCodeName | undefined {
+    if (this.directory === undefined || route.isPublic === true) return undefined
+    const outcome = this.findCustomer(this.directory, headers)
+    if (typeof outcome === 'string') this.refusals.set(outcome, (this.refusals.get(outcome) ?? 0) + 1)
+    return outcome
+  }
+
+  private findCustomer (directory: CustomerDirectory, headers: IncomingHttpHeaders): Customer | ResultCodeName {
+    const key = this.dialect.credential(headers)
+    const owner = key === undefined ? undefined : directory.find(key)
+    if (owner === undefined) return 'unknownKey'
+    return owner === 'unusable' ? 'routeUnavailable' : owner
+  }
+}
--- a/packages/daemon/src/core/gateway/callLog.ts
+++ b/packages/daemon/src/core/gateway/callLog.ts
@@ -19,9 +19,9 @@
   }
 
   onAttempt (call: ActiveCall, { id, upstreamId, purpose, deadlineAt, selection }: Attempt): void {
-    const { kind, arrivedAt } = call.call
+    const { kind, arrivedAt, customer } = call.call
     this.eventLog.logRequest('attempt', {
-      request: call.requestId, service: this.service, route: kind.name, attempt: id, upstream: upstreamId, purpose,
+      request: call.requestId, service: this.service, route: kind.name, customer, attempt: id, upstream: upstreamId, purpose,
       timeLimitMs: roundToTenth(deadlineAt - arrivedAt), ...roundFields(selection)
     })
   }
@@ -54,7 +54,7 @@
     const outcome = 'code' in result ? result.code : result.kind
     this.latencyHistogram.observe({ service: this.service, result: result.kind }, tookMs / 1000)
     this.eventLog.logRequest('result', {
-      request: call.requestId, service: this.service, route: call.call.kind.name, outcome, tookMs: roundToTenth(tookMs), waitingCalls,
+      request: call.requestId, service: this.service, route: call.call.kind.name, customer: call.call.customer, outcome, tookMs: roundToTenth(tookMs), waitingCalls,
       attempt: result.kind === 'delivered' ? result.attemptId : undefined,
       retryAfterMs: 'retryAfterMs' in result ? roundToTenth(result.retryAfterMs ?? 0) : undefined,
       ...(diagnostics === undefined ? {} : roundFields(diagnostics))
--- a/packages/daemon/src/core/gateway/gateway.ts
+++ b/packages/daemon/src/core/gateway/gateway.ts
@@ -18,6 +18,7 @@
 import { MEMBERS_GROUP } from '../feed/membership.js'
 import { PeerServer } from '../peers/peerServer.js'
 import { PolicyPublisher } from '../control/policyPublisher.js'
+import { Authenticator } from '../customers/authenticator.js'
 import { PolicyRestorer } from '../control/policyRestorer.js'
 import { PolicyState, POLICY_KEY } from '../control/policyState.js'
 import { SharedSuspects, SUSPECTS_GROUP } from '../control/sharedSuspects.js'
@@ -68,6 +69,7 @@
   private readonly random = SeededRandom.create(process.pid ^ Date.now())
   private readonly tickTimer = TickTimer.create(this.clock)
   private readonly eventLog: EventLog
+  private readonly authenticator: Authenticator
   private readonly services: GatewayServices
   private readonly controlState: ControlState
   private readonly policyState: PolicyState
@@ -95,6 +97,7 @@
     const { store } = dependencies
     this.eventLog = EventLog.create(settings.vmId, clock, dependencies.output)
     const { logger } = this.eventLog
+    this.authenticator = Authenticator.create(dependencies.dialect)
     const metrics = this.createMetrics()
     const members = FleetMembers.create(settings.vmId)
     this.services = this.createServices(metrics, members)
@@ -254,6 +257,7 @@
       random: this.random,
       tickTimer,
       dialect: this.dependencies.dialect,
+      authenticator: this.authenticator,
       connectionSettings: { connectTimeoutMs: CONNECT_TIMEOUT_MS },
       vmId: settings.vmId,
       failureDomain: settings.failureDomain,
@@ -313,6 +317,7 @@
       rejectedEntries: () => this.services.config?.rejectedEntries?.length ?? 0,
       unreadableConfigs: () => this.controlState.unreadableConfigs,
       policyRevision: () => this.policyState.revision,
+      keyRefusals: () => this.authenticator.refusals,
       isReady: () => this.unreadyReasons().length === 0,
       callsInFlight: () => this.proxy.inFlight,
       logLinesLost: () => this.eventLog.omitted + this.eventLog.dropped,
--- a/packages/daemon/src/core/gateway/gatewayServices.ts
+++ b/packages/daemon/src/core/gateway/gatewayServices.ts
@@ -3,19 +3,19 @@
 import { Dispatcher } from '@cowsliplead/core/core/dispatch/dispatcher.js'
 import { ExpectedDelayPicker } from '@cowsliplead/core/core/routing/expectedDelayPicker.js'
 import { RouteTable } from '@cowsliplead/core/core/routing/routeTable.js'
-import { requestKindOf } from '@cowsliplead/core/core/routing/requestKinds.js'
+import { RouteKinds } from '@cowsliplead/core/core/routing/routeKinds.js'
 import type { RateDivision } from '@cowsliplead/core/core/limits/rateDivision.js'
 import type { Clock } from '@cowsliplead/core/types/clock.js'
 import type { RandomSource } from '@cowsliplead/core/types/randomSource.js'
-import type { RequestKind } from '@cowsliplead/core/types/requestKind.js'
 import type { ResultCodeName } from '@cowsliplead/core/types/resultCode.js'
 import { policyDocumentSchema, type PolicyDocument } from '@cowsliplead/core/types/policyDocument.js'
 import type { RoutingPolicy } from '@cowsliplead/core/types/routingPolicy.js'
-import type { Route, RouteConfig, ServiceTarget } from '@cowsliplead/core/types/routes.js'
+import type { RouteConfig, ServiceTarget } from '@cowsliplead/core/types/routes.js'
 import type { SuspectMark } from '@cowsliplead/core/types/suspectMark.js'
 import type { Upstream } from '@cowsliplead/core/types/upstream.js'
 import type { Dialect } from '../../types/dialect.js'
 import type { RequestTarget } from '../callers/proxy.js'
+import type { Authenticator } from '../customers/authenticator.js'
 import type { ControlTarget } from '../control/controlState.js'
 import { ServiceForwarder, type CallObserver } from '../upstreams/serviceForwarder.js'
 import type { TickTimer } from '../supervision/tickTimer.js'
@@ -29,6 +29,7 @@
   readonly random: RandomSource
   readonly tickTimer: TickTimer
   readonly dialect: Dialect
+  readonly authenticator: Authenticator
   readonly connectionSettings: ConnectionSettings
   readonly vmId: string
   readonly failureDomain: string
@@ -43,7 +44,7 @@
 /** One forwarder for each service of the configuration in force, and the route table that selects among them. */
 export class GatewayServices implements ControlTarget {
   private routeTable: RouteTable | undefined
-  private readonly kindsByRoute = new Map<Route, RequestKind>()
+  private routeKinds = RouteKinds.create()
   private readonly forwardersByService = new Map<string, ServiceForwarder>()
   /** Undefined until read: if the first list were empty, the actual upstreams would count as newly started. */
   private upstreams: readonly Upstream[] | undefined
@@ -75,8 +76,8 @@
   /** Applies a new configuration. */
   setConfig (config: RouteConfig): void {
     this.routeTable = RouteTable.create(config, this.routeTable)
-    this.kindsByRoute.clear()
-    for (const route of config.routes) this.kindsByRoute.set(route, requestKindOf(route))
+    this.routeKinds = RouteKinds.create()
+    this.options.authenticator.setConfig(config)
     for (const service of this.forwardersByService.keys()) {
       if (!config.services.has(service)) this.retire(service)
     }
@@ -108,16 +109,19 @@
     for (const forwarder of this.forwardersByService.values()) forwarder.dispatcher.importSuspects(marks)
   }
 
-  /** Returns the forwarder and kind of a caller's request, or the result code with which it is refused. */
+  /** Returns the forwarder, kind and customer of a caller's request, or the result code with which it is refused. */
   route (request: IncomingMessage): RequestTarget | ResultCodeName {
     if (this.routeTable === undefined) return 'notReady'
     if (headBytesOf(request) > this.routeTable.config.limits.maxHeaderBytes) return 'headTooLarge'
     const match = this.routeTable.match(request.headers.host ?? '', request.url as string)
     if (match === undefined) return 'noService'
     if (match.service === undefined) return 'routeUnavailable'
+    const { authenticator } = this.options
+    const customer = authenticator.identify(request.headers, match.route)
+    if (typeof customer === 'string') return customer
     const forwarder = this.forwardersByService.get(match.service)
     if (forwarder === undefined) return 'noUpstream'
-    return { forwarder, kind: this.kindsByRoute.get(match.route) as RequestKind }
+    return { forwarder, kind: this.routeKinds.kindOf(match.route, customer?.priority), customer, hidesCredentials: authenticator.isActive }
   }
 
   /** Reports progress for attempts that wait for slow callers, so that they are not treated as stalled. */
--- a/packages/daemon/src/core/operators/metrics.ts
+++ b/packages/daemon/src/core/operators/metrics.ts
@@ -12,6 +12,8 @@
   rejectedEntries (): number
   /** Configurations since the start that could not be used at all. */
   unreadableConfigs (): number
+  /** Requests since the start that were refused for their key, by result code. */
+  keyRefusals (): ReadonlyMap<string, number>
   isReady (): boolean
   policyRevision (): number
   /** Event-loop stalls since the start. */
@@ -56,6 +58,7 @@
     this.addGauge('cowsliplead_fleet_vms', 'Known entry VMs, this one included', () => source.fleet().vms)
     this.addGauge('cowsliplead_followed_vms', 'Entry VMs that this one follows for changes of the control store', () => source.fleet().follows.length)
     this.addGauge('cowsliplead_followers', 'Entry VMs that follow this one for changes of the control store', () => source.fleet().followers)
+    this.addKeyRefusals(() => source.keyRefusals())
     this.addStoreReads(() => source.storeReads())
     this.addRestarts(() => source.components())
   }
@@ -121,6 +124,19 @@
     })
   }
 
+  private addKeyRefusals (keyRefusals: MetricsSource['keyRefusals']): void {
+    this.registry.registerMetric(new Counter({
+      name: 'cowsliplead_key_refusals_total',
+      help: 'Requests refused for their key, by result',
+      labelNames: ['result'],
+      registers: [],
+      collect () {
+        this.reset()
+        for (const [result, count] of keyRefusals()) this.inc({ result }, count)
+      }
+    }))
+  }
+
   private addStoreReads (storeReads: MetricsSource['storeReads']): void {
     this.registry.registerMetric(new Counter({
       name: 'cowsliplead_store_reads_total',
--- a/packages/daemon/src/core/productDialect.ts
+++ b/packages/daemon/src/core/productDialect.ts
@@ -1,7 +1,7 @@
 import type { IncomingHttpHeaders } from 'node:http'
 import type { Milliseconds } from '@cowsliplead/core/types/clock.js'
 import type { AttemptHeaders, AttemptMetadata, Dialect, ResponseMetadata } from '../types/dialect.js'
-import { AUTHORIZATION_HEADER, bearerToken, CODE_HEADER, CUSTOMER_HEADER, DEADLINE_HEADER, findHeader, keepAliveMs, LOAD_REPORT_HEADER, NOT_RUN_HEADER, REQUEST_ID_HEADER, REQUEST_RATE_HEADER, TIMEOUT_HEADER } from '../utils/headers.js'
+import { AUTHORIZATION_HEADER, bearerToken, CODE_HEADER, CUSTOMER_HEADER, DEADLINE_HEADER, findHeader, headerValue, keepAliveMs, LOAD_REPORT_HEADER, NOT_RUN_HEADER, REQUEST_ID_HEADER, REQUEST_RATE_HEADER, TIMEOUT_HEADER } from '../utils/headers.js'
 import { parseLoadReport } from '../utils/loadReport.js'
 import { parseRateNotice } from '../utils/rateNotice.js'
 
@@ -39,7 +39,7 @@
   }
 
   customerHeaders (name: string): readonly string[] {
-    return [CUSTOMER_HEADER, name]
+    return [CUSTOMER_HEADER, headerValue(name)]
   }
 
   attemptHeaders ({ requestId, attemptNumber, deadlineAt, now }: AttemptMetadata): AttemptHeaders {
--- a/packages/daemon/src/utils/headers.ts
+++ b/packages/daemon/src/utils/headers.ts
@@ -69,6 +69,11 @@
   return seconds === undefined ? undefined : Number(seconds) * 1000
 }
 
+/** A text as the value of a header, in UTF-8; heads are written one byte for each character. */
+export function headerValue (text: string): string {
+  return Buffer.from(text, 'utf8').toString('latin1')
+}
+
 /** The token of an `Authorization` header with the Bearer scheme (RFC 6750 section 2.1); undefined if it has none. */
 export function bearerToken (authorization: string | undefined): string | undefined {
   return /^bearer +(\S+) *$/i.exec(authorization ?? '')?.[1]
