Evacuate failure domains, and heed upstreams that leave or ask for a pause

Records that evacuate a failure domain were ignored, and the headers Server-Leaving and Retry-After of upstreams were decoded but not used.

UpstreamTable leaves the upstreams of these domains out before it chooses its subset. A leaving upstream gets no new work until it starts again; a pause that an upstream asks for is kept apart from the backoff and honoured by attempts, trial calls and probes. Calls that no upstream takes in time are refused at once with a Retry-After.

--- a/packages/bench/src/core/capacity/controlCost.ts
+++ b/packages/bench/src/core/capacity/controlCost.ts
@@ -95,7 +95,7 @@
   const store = LogStore.create(standin.address)
   const clock = MonotonicClock.create()
   const logger = winston.createLogger({ silent: true })
-  const services: ControlTarget = { config: undefined as RouteConfig | undefined, setConfig: () => {}, setUpstreams: () => {} }
+  const services: ControlTarget = { config: undefined as RouteConfig | undefined, setConfig: () => {}, setEvacuatedDomains: () => {}, setUpstreams: () => {} }
   const fleet = Fleet.create({ vmId, members: FleetMembers.create(vmId), failureDomain: 'nyeri', address: '127.0.0.1:0', store, clock, logger, onSizeChange: () => {} })
   const { feed, membership } = fleet
   const control = ControlState.create({ store, clock, services, logger, feed, renewalMs: RENEWAL_MS, onConfig: () => {} })
--- a/packages/core/src/core/dispatch/attemptEnds.ts
+++ b/packages/core/src/core/dispatch/attemptEnds.ts
@@ -19,9 +19,10 @@
 
 /**
  * Whether the end counts as a failure of the upstream. An attempt that was not run counts if the connection was refused,
- * but not if the upstream shed it; only then is there a load report.
+ * but not if the upstream shed it; only then is there a load report. A refusal that asks for a pause is handled as such.
  */
 export function isUpstreamFailure (end: AttemptEnd): boolean {
+  if (end.retryAfterMs !== undefined) return false
   if (end.kind === 'answered') return end.serverError === true
   if (end.kind === 'notRun') return end.report === undefined
   return end.kind !== 'cancelled'
--- a/packages/core/src/core/dispatch/attemptEventHandler.ts
+++ b/packages/core/src/core/dispatch/attemptEventHandler.ts
@@ -1,12 +1,13 @@
 import type { Milliseconds } from '../../types/clock.js'
 import type { AttemptEnd } from '../../types/dispatch.js'
-import type { LoadReport, RateNotice } from '../../types/upstream.js'
+import type { LoadReport, RateNotice, ResponseSignals } from '../../types/upstream.js'
 import { resultCodeOf, isUpstreamFailure, failureResult } from './attemptEnds.js'
 import type { CallEngine } from './callEngine.js'
 import type { AttemptState, CallState } from './callState.js'
 import { mayHaveCausedCrash, recordCrash } from '../health/crashes.js'
 import { updateTrustFromLatency, updateTrustFromReport } from '../routing/reportTrust.js'
 import type { RoutingContext } from './routingContext.js'
+import { applySignals } from '../health/upstreamSignals.js'
 import type { UpstreamState } from '../health/upstreamState.js'
 
 const MAX_SHED_BACKOFF_MS = 50
@@ -56,8 +57,14 @@
     if (change !== undefined) this.context.port.onRateLimit?.({ upstreamId: state.upstream.id, ...change })
   }
 
+  /** Handles what the head of a response says about new work. Waiting calls may then be out of reach and are refused. */
+  onSignals (state: UpstreamState, signals: ResponseSignals): void {
+    if (applySignals(this.context, state, signals)) this.engine.startWaitingCalls()
+  }
+
   private updateUpstream (attempt: AttemptState, end: AttemptEnd): void {
-    if (isUpstreamFailure(end)) this.recordFailure(attempt, end)
+    if (end.retryAfterMs !== undefined) this.recordPause(attempt)
+    else if (isUpstreamFailure(end)) this.recordFailure(attempt, end)
     else if (end.kind === 'answered') this.recordResponse(attempt, end)
     else if (end.kind === 'notRun') this.recordShed(attempt)
     else if (attempt.isTrial) this.context.outliers.onTrialAbandoned(attempt.upstreamState)
@@ -119,6 +126,17 @@
     if (attempt.isTrial) this.context.outliers.onTrialAbandoned(attempt.upstreamState)
   }
 
+  /**
+   * Handles a refusal that asks for a pause. All refusals of one pause count as one failure, because requests in flight at
+   * its beginning would otherwise have the upstream ejected.
+   */
+  private recordPause ({ upstreamState, isTrial }: AttemptState): void {
+    const { outliers, clock } = this.context
+    upstreamState.adaptiveLimit.onRefusal()
+    if (upstreamState.pause.countFailure()) outliers.onFailure(upstreamState, false, isTrial, clock.now())
+    else if (isTrial) outliers.onTrialAbandoned(upstreamState)
+  }
+
   private updateSuspects (attempt: AttemptState, end: AttemptEnd): void {
     const { fingerprint } = attempt.callState.call
     if (end.kind === 'answered') this.context.suspects.onResponse(fingerprint)
--- a/packages/core/src/core/dispatch/callEngine.ts
+++ b/packages/core/src/core/dispatch/callEngine.ts
@@ -2,7 +2,7 @@
 import type { AttemptPurpose, Call, CallResult, CancelReason } from '../../types/dispatch.js'
 import type { ResultCodeName } from '../../types/resultCode.js'
 import type { Timer } from '../../utils/timerQueue.js'
-import { latestStartAt, checkAdmission } from '../limits/admission.js'
+import { latestStartAt, checkAdmission, checkReachability } from '../limits/admission.js'
 import { isRetryable, failureResult } from './attemptEnds.js'
 import { recordCancellation } from './cancelledAttempts.js'
 import type { AttemptControl } from './attemptControl.js'
@@ -93,10 +93,10 @@
   }
 
   mayRetry (state: CallState): boolean {
-    const { serviceTimes, clock } = this.context
     if (!isRetryable(state) || state.attemptCount >= this.context.maxAttempts(state.call.kind)) return false
+    const { serviceTimes, clock } = this.context
     const typicalMs = serviceTimes.quantileMs(state.call.kind, 0.5) ?? 0
-    return clock.now() + typicalMs < state.call.deadlineAt
+    return clock.now() + typicalMs < state.call.deadlineAt && checkReachability(this.context, state.call) === undefined
   }
 
   /** Starts a hedge if an untried upstream has capacity. Returns whether it started. */
@@ -252,7 +252,7 @@
   private startNextRetry (): boolean {
     const state = this.awaitingRetry[0]
     if (state === undefined) return false
-    if (this.isBudgetWaitTooLong(state)) {
+    if (checkReachability(this.context, state.call) !== undefined || this.isBudgetWaitTooLong(state)) {
       this.finish(state, failureResult(state, state.lastResultCode ?? 'shed'))
       return true
     }
@@ -283,7 +283,7 @@
       state.phase = 'probing'
       return true
     }
-    if (choice === undefined) return this.refuseIfNoUpstream(state)
+    if (choice === undefined) return this.refuseIfUnreachable(state)
     context.queue.depart(state, context.clock.now())
     this.removeFromWaiting(state)
     this.startAttempt(choice, state, 'first')
@@ -307,9 +307,11 @@
     this.startBudgetedAttempt({ state: unused, isTrial: false }, state, 'hedge')
   }
 
-  private refuseIfNoUpstream (state: CallState): boolean {
-    if (this.context.table.hasEligibleUpstreams(this.context.clock.now())) return false
-    this.finish(state, { kind: 'notRun', code: 'noUpstream' })
+  /** Refuses a waiting call that no upstream can take in time. Returns whether it did. */
+  private refuseIfUnreachable (state: CallState): boolean {
+    const code = checkReachability(this.context, state.call)
+    if (code === undefined) return false
+    this.finish(state, { kind: 'notRun', code })
     return true
   }
 
--- a/packages/core/src/core/dispatch/dispatcher.ts
+++ b/packages/core/src/core/dispatch/dispatcher.ts
@@ -2,7 +2,7 @@
 import type { AttemptEnd, Call } from '../../types/dispatch.js'
 import type { DispatcherSnapshot } from '../../types/dispatcherSnapshot.js'
 import { NO_POLICY_EXCEPTIONS, type PolicyExceptions, type RoutingPolicy } from '../../types/routingPolicy.js'
-import type { LoadReport, RateNotice, Upstream } from '../../types/upstream.js'
+import type { LoadReport, RateNotice, ResponseSignals, Upstream } from '../../types/upstream.js'
 import { AttemptEventHandler } from './attemptEventHandler.js'
 import { CallEngine } from './callEngine.js'
 import { RoutingContext, type DispatcherOptions } from './routingContext.js'
@@ -30,7 +30,18 @@
   /** Replaces the list of registered upstreams. */
   setUpstreams (upstreams: readonly Upstream[]): void {
     this.context.table.setUpstreams(upstreams, this.context.clock.now())
-    this.context.probeBudget.setUpstreamCount(upstreams.length)
+    this.onAvailabilityChange()
+  }
+
+  /** Takes the upstreams of these failure domains out of use until they are left out again. Running attempts continue. */
+  setEvacuatedDomains (domains: ReadonlySet<string>): void {
+    this.context.table.setEvacuatedDomains(domains, this.context.clock.now())
+    this.onAvailabilityChange()
+  }
+
+  /** Stops new work for an incarnation of an upstream, which has told another VM that it is leaving. */
+  markLeaving (upstreamId: string, incarnation: number): void {
+    this.context.table.markLeaving(upstreamId, incarnation)
     this.engine.startWaitingCalls()
   }
 
@@ -86,6 +97,18 @@
     if (state !== undefined) this.attemptEvents.onRateNotice(state, notice)
   }
 
+  /** Handles what the head of a response to an attempt says about new work for its upstream. */
+  onAttemptSignals (attemptId: number, signals: ResponseSignals): void {
+    const attempt = this.engine.attempts.get(attemptId)
+    if (attempt !== undefined) this.attemptEvents.onSignals(attempt.upstreamState, signals)
+  }
+
+  /** Handles what the head of a response to a load probe says about new work for its upstream. */
+  onProbeSignals (upstreamId: string, signals: ResponseSignals): void {
+    const state = this.context.table.get(upstreamId)
+    if (state !== undefined) this.attemptEvents.onSignals(state, signals)
+  }
+
   /** Records that bytes of a response arrived or were accepted by the caller. */
   onAttemptProgress (attemptId: number): void {
     const attempt = this.engine.attempts.get(attemptId)
@@ -143,7 +166,13 @@
       queued: this.engine.waitingCalls,
       running: this.engine.attempts.size,
       counters: { ...counters, notRun: { ...counters.notRun }, outcomeUnknown: { ...counters.outcomeUnknown } },
-      upstreams: table.inUse().map(state => table.snapshotOf(state, now))
+      upstreams: table.inUse().map(state => table.snapshotOf(state, now)),
+      evacuatedUpstreams: table.evacuatedCount
     }
   }
+
+  private onAvailabilityChange (): void {
+    this.context.probeBudget.setUpstreamCount(this.context.table.availableCount)
+    this.engine.startWaitingCalls()
+  }
 }
--- a/packages/core/src/core/health/outlierDetector.ts
+++ b/packages/core/src/core/health/outlierDetector.ts
@@ -68,12 +68,12 @@
 
   /**
    * Finds an ejected upstream that is due for a trial call. Draining upstreams get none, as they accept no new work, nor
-   * does one whose request rate is used up.
+   * does one that is paused or whose request rate is used up.
    */
   findDueForTrial (now: Milliseconds): UpstreamState | undefined {
     return this.upstreams().find(state => {
       const isDue = state.isEjected && !state.isTrialRunning && state.nextTrialAt <= now
-      return isDue && !isDraining(state, now) && state.rateLimit.allows(now)
+      return isDue && !isDraining(state, now) && !state.pause.isActive(now) && state.rateLimit.allows(now)
     })
   }
 
--- a/packages/core/src/core/health/upstreamState.ts
+++ b/packages/core/src/core/health/upstreamState.ts
@@ -4,6 +4,7 @@
 import type { LoadReport, Upstream } from '../../types/upstream.js'
 import { usableSlots } from '../routing/slotUse.js'
 import { AdaptiveLimit } from '../limits/adaptiveLimit.js'
+import { UpstreamPause } from '../limits/upstreamPause.js'
 import type { UpstreamRateLimit } from '../limits/upstreamRateLimit.js'
 import type { RunningAttempt } from './runningAttempt.js'
 
@@ -53,6 +54,12 @@
 
   // Reasons to send no new work.
   drainingUntil: Milliseconds = 0
+  /** The upstream has said that it is leaving, which is final for its incarnation. */
+  isLeaving = false
+  /** Requested by the upstream. Separate from the backoff, which the VM's own decisions shorten. */
+  readonly pause = UpstreamPause.create()
+  /** When the evacuation of its failure domain ended; it may have become cold since. Undefined if there was none. */
+  assumedColdSince: Milliseconds | undefined
   /** When the pending probe was sent; undefined if none is pending. */
   probeSentAt: Milliseconds | undefined
   isUnresponsive = false
--- a/packages/core/src/core/health/upstreamTable.ts
+++ b/packages/core/src/core/health/upstreamTable.ts
@@ -7,6 +7,7 @@
 import { UNDIVIDED_RATES, type RateDivision } from '../limits/rateDivision.js'
 import { UpstreamRateLimit } from '../limits/upstreamRateLimit.js'
 import { chooseSubset, preferenceOf } from '../routing/subset.js'
+import { LeavingUpstreams } from './leavingUpstreams.js'
 import { UpstreamState } from './upstreamState.js'
 
 /** Attempts in flight per used slot above which the subset of upstreams grows. */
@@ -27,6 +28,10 @@
 /** The upstreams of one service, with the subset that this VM uses, their limits and the VM's shares of their slots. */
 export class UpstreamTable {
   private readonly states = new Map<string, UpstreamState>()
+  private readonly leaving = LeavingUpstreams.create()
+  private evacuatedDomains: ReadonlySet<string> = new Set()
+  /** Those outside the evacuated failure domains. */
+  private available: readonly UpstreamState[] = []
   private used: UpstreamState[] = []
   /** Slots of the upstreams in use. */
   private usedSlots = 0
@@ -67,9 +72,39 @@
     this.rebuild()
   }
 
+  /**
+   * Takes the upstreams of these failure domains out of use, and returns those of the others to use. Upstreams that return
+   * may be cold, so they start slowly and are marked as possibly cold from now on.
+   */
+  setEvacuatedDomains (domains: ReadonlySet<string>, now: Milliseconds): void {
+    for (const state of this.states.values()) {
+      if (this.isEvacuated(state) && !domains.has(state.upstream.failureDomain)) markReturned(state, now)
+    }
+    this.evacuatedDomains = domains
+    this.rebuild()
+  }
+
+  /** Number of registered upstreams outside the evacuated failure domains. */
+  get availableCount (): number {
+    return this.available.length
+  }
+
+  /** Number of registered upstreams in evacuated failure domains. */
+  get evacuatedCount (): number {
+    return this.states.size - this.available.length
+  }
+
+  /** Stops new work for an incarnation of an upstream for good. Returns whether that is new. */
+  markLeaving (upstreamId: string, incarnation: number | undefined): boolean {
+    const isNew = this.leaving.add(upstreamId, incarnation)
+    const state = this.states.get(upstreamId)
+    if (state?.upstream.incarnation === incarnation && state !== undefined) state.isLeaving = true
+    return isNew
+  }
+
   /** Adapts the subset to the attempts in flight: a VM that is left alone carries the load of the whole fleet. */
   resizeSubset (attempts: number): void {
-    const isPartial = this.used.length < this.states.size
+    const isPartial = this.used.length < this.available.length
     if (isPartial && attempts > this.usedSlots * SUBSET_GROWTH_LOAD) this.setSubsetFactor(this.subsetFactor * 2)
     else if (this.subsetFactor > 1 && attempts < this.usedSlots * SUBSET_SHRINK_LOAD) this.setSubsetFactor(this.subsetFactor / 2)
   }
@@ -114,6 +149,11 @@
     return this.used.reduce((count, { rateLimit }) => rateLimit.allows(now) ? count : count + 1, 0)
   }
 
+  /** Number of upstreams in use that have asked for a pause which has not ended. */
+  countPaused (now: Milliseconds): number {
+    return this.used.reduce((count, { pause }) => pause.isActive(now) ? count + 1 : count, 0)
+  }
+
   /** Stops new work for an upstream until the given instant. */
   markDraining (state: UpstreamState, until: Milliseconds): void {
     state.drainingUntil = Math.max(state.drainingUntil, until)
@@ -136,6 +176,8 @@
       reportTrust: state.reportTrust,
       requestsPerSecond: state.rateLimit.requestsPerSecond,
       draining: isDraining(state, now),
+      leaving: state.isLeaving,
+      pauseLeftMs: state.pause.leftMs(now),
       ejected: state.isEjected,
       attempts: state.attempts,
       failures: state.failures
@@ -143,7 +185,7 @@
   }
 
   private isOpen (state: UpstreamState, now: Milliseconds): boolean {
-    if (state.isEjected || isDraining(state, now) || state.backoffUntil > now) return false
+    if (state.isEjected || isDraining(state, now) || state.backoffUntil > now || state.pause.isActive(now)) return false
     return state.inFlight < this.limitOf(state) && state.rateLimit.allows(now)
   }
 
@@ -159,11 +201,13 @@
     const { vmId, random, rateDivision = UNDIVIDED_RATES } = this.localVm
     const preference = preferenceOf(vmId, upstream.id)
     const rateLimit = UpstreamRateLimit.create({ upstream, division: rateDivision, random })
-    this.states.set(upstream.id, UpstreamState.create({ upstream, preference, slowStartedAt, policy: this.policyOf(upstream.id), rateLimit }))
+    const state = UpstreamState.create({ upstream, preference, slowStartedAt, policy: this.policyOf(upstream.id), rateLimit })
+    state.isLeaving = this.leaving.has(upstream.id, upstream.incarnation)
+    this.states.set(upstream.id, state)
   }
 
   private hasServed (): boolean {
-    return this.used.some(({ attempts }) => attempts > 0)
+    return [...this.states.values()].some(({ attempts }) => attempts > 0)
   }
 
   private policyOf (upstreamId: string): RoutingPolicy {
@@ -175,8 +219,13 @@
     this.rebuild()
   }
 
+  private isEvacuated (state: UpstreamState): boolean {
+    return this.evacuatedDomains.has(state.upstream.failureDomain)
+  }
+
   private rebuild (): void {
-    const states = [...this.states.values()]
+    const states = [...this.states.values()].filter(state => !this.isEvacuated(state))
+    this.available = states
     const limit = this.policy.scanLimitUpstreams * this.subsetFactor
     this.used = chooseSubset(states, limit, this.localVm.failureDomain)
     this.used.sort((one, other) => one.upstream.id < other.upstream.id ? -1 : 1)
@@ -209,7 +258,12 @@
 
 /** Whether the upstream has asked for no new work or is registered as leaving. */
 export function isDraining (state: UpstreamState, now: Milliseconds): boolean {
-  return state.upstream.state === 'leaving' || state.drainingUntil > now
+  return state.isLeaving || state.upstream.state === 'leaving' || state.drainingUntil > now
+}
+
+function markReturned (state: UpstreamState, now: Milliseconds): void {
+  state.assumedColdSince = now
+  state.slowStartedAt = now
 }
 
 /** How many numbers n in [from, to) have n modulo `count` equal to `rank`. */
--- a/packages/core/src/core/limits/admission.ts
+++ b/packages/core/src/core/limits/admission.ts
@@ -2,6 +2,7 @@
 import type { Call } from '../../types/dispatch.js'
 import type { ResultCodeName } from '../../types/resultCode.js'
 import type { RoutingContext } from '../dispatch/routingContext.js'
+import { pausedUntil } from './pauseAdmission.js'
 import { rateLimitedUntil } from './rateAdmission.js'
 
 /** The code with which an arriving call is refused; undefined if it is admitted. `running` counts the attempts under way. */
@@ -15,6 +16,15 @@
   return undefined
 }
 
+/** The code with which a call that waits, for its first attempt or a retry, is refused because no upstream can take it in time; undefined if one can. */
+export function checkReachability (context: RoutingContext, call: Call): ResultCodeName | undefined {
+  const { table, clock } = context
+  const now = clock.now()
+  if (!table.hasEligibleUpstreams(now)) return 'noUpstream'
+  const firstEndsAt = pausedUntil(table, now)
+  return firstEndsAt !== undefined && firstEndsAt > latestStartAt(context, call) ? 'rateLimited' : undefined
+}
+
 function isRateLimited (context: RoutingContext, call: Call): boolean {
   const limitedUntil = rateLimitedUntil(context, call)
   return limitedUntil !== undefined && limitedUntil > latestStartAt(context, call)
--- a/packages/core/src/core/limits/rateAdmission.ts
+++ b/packages/core/src/core/limits/rateAdmission.ts
@@ -2,11 +2,12 @@
 import type { Call } from '../../types/dispatch.js'
 import type { RoutingContext } from '../dispatch/routingContext.js'
 import { isDraining } from '../health/upstreamTable.js'
+import { nextStartAt } from './pauseAdmission.js'
 
 const MS_PER_SECOND = 1000
 
 /**
- * When a new call can start if all upstreams in use name request rates; undefined if one takes any number of requests, or
+ * When a new call can start if all upstreams in use name request rates or have asked for a pause; undefined if one takes any number of requests, or
  * none accepts new work.
  */
 export function rateLimitedUntil ({ table, queue, clock }: RoutingContext, call: Call): Milliseconds | undefined {
@@ -15,8 +16,9 @@
   let requestsPerSecond = 0
   for (const state of table.inUse()) {
     if (isDraining(state, now)) continue
-    if (!state.rateLimit.isLimited) return undefined
-    firstStartAt = Math.min(firstStartAt, state.rateLimit.nextStartAt(now))
+    const startAt = nextStartAt(state, now)
+    if (startAt === undefined) return undefined
+    firstStartAt = Math.min(firstStartAt, startAt)
     requestsPerSecond += state.rateLimit.ownRequestsPerSecond
   }
   if (firstStartAt === Infinity) return undefined
--- a/packages/core/src/types/dispatch.ts
+++ b/packages/core/src/types/dispatch.ts
@@ -78,6 +78,8 @@
   /** The upstream responded with a server error (5xx); the response itself is complete. */
   readonly serverError?: boolean
   readonly report?: LoadReport
+  /** How long the upstream takes no requests from this VM, as its refusal says. */
+  readonly retryAfterMs?: Milliseconds | undefined
   /** Size of a complete response. */
   readonly bytes?: number
 }
@@ -126,6 +128,11 @@
   readonly probes: number
 }
 
+/** An upstream is leaving, or asks this VM for a pause. */
+export type UpstreamSignal =
+  | { readonly kind: 'leaving', readonly upstreamId: string, readonly incarnation: number | undefined }
+  | { readonly kind: 'paused', readonly upstreamId: string, readonly retryAfterMs: Milliseconds, readonly inFlight: number, readonly pausedUpstreams: number }
+
 /** Implemented by the dispatcher's host, which carries out attempts and returns results to callers. */
 export interface DispatchPort {
   startAttempt (attempt: Attempt): void
@@ -144,4 +151,6 @@
   shareSuspects? (marks: readonly SuspectMark[]): void
   /** Notified when an upstream names, changes or withdraws a request rate. */
   onRateLimit? (change: RateLimitChange): void
+  /** Notified when an upstream first says that it is leaving, and when a pause begins. */
+  onUpstreamSignal? (signal: UpstreamSignal): void
 }
--- a/packages/core/src/types/dispatcherSnapshot.ts
+++ b/packages/core/src/types/dispatcherSnapshot.ts
@@ -38,6 +38,10 @@
   /** Requests per second that it takes from all VMs together; undefined if it names no limit. */
   readonly requestsPerSecond: number | undefined
   readonly draining: boolean
+  /** It has said that it is leaving. */
+  readonly leaving: boolean
+  /** Remaining time for which it has asked for no requests; 0 if it has not. */
+  readonly pauseLeftMs: Milliseconds
   readonly ejected: boolean
   readonly attempts: number
   readonly failures: number
@@ -52,4 +56,6 @@
   readonly running: number
   readonly counters: DispatchCounters
   readonly upstreams: readonly UpstreamSnapshot[]
+  /** Registered upstreams in evacuated failure domains, which are not listed. */
+  readonly evacuatedUpstreams: number
 }
--- a/packages/core/src/types/resultCode.ts
+++ b/packages/core/src/types/resultCode.ts
@@ -30,7 +30,7 @@
   bodyTimeout: code(112, 'bodyTimeout', 'notRun', 'The caller did not send the body in time.'),
   headTooLarge: code(113, 'headTooLarge', 'notRun', 'The head of the request is over its limit.'),
   stopping: code(114, 'stopping', 'notRun', 'The VM is stopping and might not finish the request; send it again to another one.'),
-  rateLimited: code(115, 'rateLimited', 'notRun', 'The upstreams take no further request before the deadline, by the request rates that they name.'),
+  rateLimited: code(115, 'rateLimited', 'notRun', 'The upstreams take no further request before the deadline, by the request rates or pauses that they name.'),
   routeUnavailable: code(116, 'routeUnavailable', 'notRun', 'The configuration of the route or of the customer cannot be read.'),
   unknownKey: code(117, 'unknownKey', 'notRun', 'The request has no key, or one that no customer has.'),
   keysUnconfirmed: code(118, 'keysUnconfirmed', 'notRun', 'The VM cannot show that its list of keys is recent enough.'),
--- a/packages/core/src/types/upstream.ts
+++ b/packages/core/src/types/upstream.ts
@@ -26,6 +26,14 @@
  */
 export type RateNotice = { readonly kind: 'limited', readonly requestsPerSecond: number } | { readonly kind: 'unlimited' }
 
+/** What the head of a response says about the requests that its upstream takes from now on. */
+export interface ResponseSignals {
+  /** The upstream is leaving and takes no new work. */
+  readonly isLeaving: boolean
+  /** How long the upstream takes no requests from this VM; undefined if it does not say. */
+  readonly retryAfterMs: Milliseconds | undefined
+}
+
 /** An upstream's report of its own load, carried by a response or obtained by a probe. */
 export interface LoadReport {
   /** Requests that occupy a slot. */
--- a/packages/daemon/__tests__/controlState.test.ts
+++ b/packages/daemon/__tests__/controlState.test.ts
@@ -28,7 +28,7 @@
     const store = MemoryStore.create()
     store.putUpstream(ENTRY)
     let upstreams: readonly Upstream[] = []
-    const services = { config: undefined, setConfig: () => {}, setUpstreams: (listed: readonly Upstream[]) => void (upstreams = listed) }
+    const services = { config: undefined, setConfig: () => {}, setEvacuatedDomains: () => {}, setUpstreams: (listed: readonly Upstream[]) => void (upstreams = listed) }
     const control = ControlState.create({
       store, clock: slowClock, feed: ChangeFeed.create(slowClock), services, logger: winston.createLogger({ silent: true }),
       renewalMs: RENEWAL_MS, onConfig: () => {}
--- a/packages/daemon/src/core/control/controlState.ts
+++ b/packages/daemon/src/core/control/controlState.ts
@@ -6,6 +6,7 @@
 import type { ControlStore, TableRecord } from '../../types/controlStore.js'
 import type { ChangeFeed } from '../feed/changeFeed.js'
 import type { Logger } from '../operators/logger.js'
+import { EvacuationState } from './evacuationState.js'
 import { logStoreOutages } from './storeOutageLog.js'
 import { TableReader, type TableConsumer } from './tableReader.js'
 
@@ -38,6 +39,8 @@
   readonly config: RouteConfig | undefined
   setConfig (config: RouteConfig): void
   setUpstreams (upstreams: readonly Upstream[]): void
+  /** Sets the failure domains whose upstreams must get no new work. */
+  setEvacuatedDomains (domains: ReadonlySet<string>): void
 }
 
 /** Options of the control state. */
@@ -55,6 +58,7 @@
 /** This VM's copy of the configuration and of the upstreams, kept up to date from the control store. */
 export class ControlState {
   private readonly directory: UpstreamDirectory
+  readonly evacuations: EvacuationState
   private readonly configReader: TableReader
   private readonly upstreamReader: TableReader
   /** Records of the configuration that could not be used at all. */
@@ -65,6 +69,9 @@
   private constructor (private readonly options: ControlStateOptions) {
     const { store, clock, renewalMs, feed } = options
     this.directory = UpstreamDirectory.create({ renewalMs })
+    this.evacuations = EvacuationState.create({
+      store, clock, logger: options.logger, target: options.services, upstreams: () => this.hasReadUpstreams ? this.directory.list() : undefined
+    })
     this.configReader = TableReader.create({
       store, clock, feed, table: 'configuration', consumer: this.createConfigConsumer(), waitMs: READ_WAIT_MS, pauseMs: 0, maxFeedAgeMs: MAX_FEED_AGE_MS, startsFromCopy: true
     })
@@ -85,6 +92,7 @@
   /** Cancels the timer that removes expired entries. */
   close (): void {
     clearTimeout(this.expiryTimer)
+    this.evacuations.close()
   }
 
   /** Reasons why requests cannot be served yet; empty once all state has been read. */
@@ -107,17 +115,30 @@
       configVersion: this.options.services.config?.version,
       configAgeMs: this.configReader.ageMs,
       upstreamsAgeMs: this.upstreamReader.ageMs,
+      evacuations: this.evacuations.describe(),
       upstreams: this.directory.list()
     }
   }
 
   private createConfigConsumer (): TableConsumer {
     const applyRecords = (records: readonly TableRecord[]): void => records.forEach(record => this.applyConfigRecord(record))
+    const outageLog = logStoreOutages(this.options.logger, 'configuration')
     return {
-      ...logStoreOutages(this.options.logger, 'configuration'),
+      ...outageLog,
       isOutdated: record => this.isOutdatedConfig(record),
-      onSnapshot: applyRecords,
-      onChanges: applyRecords
+      onRestore: restore => {
+        outageLog.onRestore(restore)
+        this.evacuations.onStoreRestored()
+      },
+      // Evacuations first: the configuration lets calls begin.
+      onSnapshot: records => {
+        this.evacuations.onSnapshot(records)
+        applyRecords(records)
+      },
+      onChanges: records => {
+        this.evacuations.onChanges(records)
+        applyRecords(records)
+      }
     }
   }
 
@@ -192,6 +213,7 @@
     const removed = this.directory.replaceAll(entries, clock.now())
     this.hasReadUpstreams = true
     logger.info('upstreams read', { count: entries.length, removed })
+    this.evacuations.logUnknownDomains()
     this.updateUpstreams()
   }
 
--- a/packages/daemon/src/core/gateway/callLog.ts
+++ b/packages/daemon/src/core/gateway/callLog.ts
@@ -1,6 +1,6 @@
 import type { Histogram } from 'prom-client'
 import type { Milliseconds } from '@cowsliplead/core/types/clock.js'
-import type { Attempt, SelectionSnapshot, AttemptEnd, CallResult, CancelReason, RateLimitChange, ResultDiagnostics } from '@cowsliplead/core/types/dispatch.js'
+import type { Attempt, SelectionSnapshot, AttemptEnd, CallResult, CancelReason, RateLimitChange, ResultDiagnostics, UpstreamSignal } from '@cowsliplead/core/types/dispatch.js'
 import type { ActiveAttempt } from '../upstreams/activeAttempt.js'
 import type { ActiveCall } from '../callers/activeCall.js'
 import type { CallObserver } from '../upstreams/serviceForwarder.js'
@@ -50,6 +50,11 @@
     this.eventLog.logger.info(message, { service: this.service, upstream: upstreamId, limitedForMs: Math.round(limitedForMs), ...change })
   }
 
+  onUpstreamSignal ({ kind, upstreamId, ...fields }: UpstreamSignal): void {
+    const message = kind === 'leaving' ? 'upstream says that it is leaving' : 'upstream asks for a pause'
+    this.eventLog.logger.info(message, { service: this.service, upstream: upstreamId, ...fields })
+  }
+
   onResult (call: ActiveCall, result: CallResult, tookMs: Milliseconds, waitingCalls: number, diagnostics?: ResultDiagnostics): void {
     const outcome = 'code' in result ? result.code : result.kind
     this.latencyHistogram.observe({ service: this.service, result: result.kind }, tookMs / 1000)
--- a/packages/daemon/src/core/gateway/gateway.ts
+++ b/packages/daemon/src/core/gateway/gateway.ts
@@ -210,6 +210,7 @@
       policyRevision: this.policyState.revision,
       configVersion: this.services.config?.version,
       rejectedEntries: this.services.config?.rejectedEntries?.map(entry => ({ ...entry })),
+      evacuatedDomains: this.controlState.evacuations.domains(),
       storeAgeMs: this.controlState.storeAgeMs,
       callsInFlight: this.proxy.inFlight,
       components: this.supervisor.componentStates()
@@ -312,6 +313,7 @@
       configVersion: () => this.services.config?.version ?? 0,
       rejectedEntries: () => this.services.config?.rejectedEntries?.length ?? 0,
       unreadableConfigs: () => this.controlState.unreadableConfigs,
+      evacuatedDomains: () => this.controlState.evacuations.count,
       policyRevision: () => this.policyState.revision,
       isReady: () => this.unreadyReasons().length === 0,
       callsInFlight: () => this.proxy.inFlight,
--- a/packages/daemon/src/core/gateway/gatewayServices.ts
+++ b/packages/daemon/src/core/gateway/gatewayServices.ts
@@ -47,6 +47,7 @@
   private readonly forwardersByService = new Map<string, ServiceForwarder>()
   /** Undefined until read: if the first list were empty, the actual upstreams would count as newly started. */
   private upstreams: readonly Upstream[] | undefined
+  private evacuatedDomains: ReadonlySet<string> = new Set()
   private document = EMPTY_DOCUMENT
   /** Entry VMs known to this one, itself included. */
   private entryVmCount = 1
@@ -90,6 +91,12 @@
     this.closeRetired()
   }
 
+  /** Applies a new set of evacuated failure domains, also to the calls of services that were removed. */
+  setEvacuatedDomains (domains: ReadonlySet<string>): void {
+    this.evacuatedDomains = domains
+    for (const forwarder of [...this.forwardersByService.values(), ...this.retired]) forwarder.setEvacuatedDomains(domains)
+  }
+
   /** Applies a changed routing policy and number of entry VMs. */
   setPolicy (policy: RoutingPolicy, entryVmCount: number): void {
     this.policy = policy
@@ -158,7 +165,7 @@
 
   private createForwarder ({ name }: ServiceTarget, policy: RoutingPolicy): ServiceForwarder {
     const { clock, random, tickTimer, dialect, connectionSettings, vmId, failureDomain, rateDivision } = this.options
-    return ServiceForwarder.create({
+    const forwarder = ServiceForwarder.create({
       service: name,
       clock,
       tickTimer,
@@ -170,6 +177,8 @@
         service: name, vmId, clock, random, port, picker: ExpectedDelayPicker.create(policy), policy, failureDomain, rateDivision
       })
     })
+    forwarder.setEvacuatedDomains(this.evacuatedDomains)
+    return forwarder
   }
 
   private updateUpstreams (forwarder: ServiceForwarder): void {
--- a/packages/daemon/src/core/operators/metrics.ts
+++ b/packages/daemon/src/core/operators/metrics.ts
@@ -13,6 +13,8 @@
   /** Configurations since the start that could not be used at all. */
   unreadableConfigs (): number
   isReady (): boolean
+  /** Number of evacuated failure domains. */
+  evacuatedDomains (): number
   policyRevision (): number
   /** Event-loop stalls since the start. */
   stallCount (): number
@@ -45,6 +47,10 @@
     this.addServiceGauge('cowsliplead_ejected_upstreams', 'Ejected upstreams, which receive trial calls only', forwarder => countUpstreams(forwarder, 'ejected'))
     this.addServiceGauge('cowsliplead_draining_upstreams', 'Draining upstreams, which receive no new calls', forwarder => countUpstreams(forwarder, 'draining'))
     this.addServiceGauge('cowsliplead_rate_limited_upstreams', 'Upstreams that name a request rate', countRateLimited)
+    this.addServiceGauge('cowsliplead_leaving_upstreams', 'Upstreams in use that have said that they are leaving', forwarder => countUpstreams(forwarder, 'leaving'))
+    this.addServiceGauge('cowsliplead_paused_upstreams', 'Upstreams in use that have asked for a pause', countPaused)
+    this.addServiceGauge('cowsliplead_evacuated_upstreams', 'Registered upstreams in evacuated failure domains', forwarder => forwarder.dispatcher.snapshot().evacuatedUpstreams)
+    this.addGauge('cowsliplead_evacuated_domains', 'Evacuated failure domains', () => source.evacuatedDomains())
     this.addGauge('cowsliplead_config_revision', 'Version of the configuration in force', () => source.configVersion())
     this.addGauge('cowsliplead_rejected_config_entries', 'Entries of the configuration in force that cannot be used', () => source.rejectedEntries())
     this.addGauge('cowsliplead_unreadable_configs', 'Configurations since the start that could not be used at all', () => source.unreadableConfigs())
@@ -148,10 +154,14 @@
   }
 }
 
-function countUpstreams (forwarder: ServiceForwarder, state: 'ejected' | 'draining'): number {
+function countUpstreams (forwarder: ServiceForwarder, state: 'ejected' | 'draining' | 'leaving'): number {
   return forwarder.dispatcher.snapshot().upstreams.filter(upstream => upstream[state]).length
 }
 
 function countRateLimited (forwarder: ServiceForwarder): number {
   return forwarder.dispatcher.snapshot().upstreams.filter(({ requestsPerSecond }) => requestsPerSecond !== undefined).length
 }
+
+function countPaused (forwarder: ServiceForwarder): number {
+  return forwarder.dispatcher.snapshot().upstreams.filter(({ pauseLeftMs }) => pauseLeftMs > 0).length
+}
--- a/packages/daemon/src/core/upstreams/activeAttempt.ts
+++ b/packages/daemon/src/core/upstreams/activeAttempt.ts
@@ -1,10 +1,11 @@
 import type { Readable } from 'node:stream'
 import type { AttemptEnd } from '@cowsliplead/core/types/dispatch.js'
-import type { LoadReport, RateNotice } from '@cowsliplead/core/types/upstream.js'
-import type { Clock } from '@cowsliplead/core/types/clock.js'
+import type { LoadReport, RateNotice, ResponseSignals } from '@cowsliplead/core/types/upstream.js'
+import type { Clock, Milliseconds } from '@cowsliplead/core/types/clock.js'
 import type { Dialect, ResponseMetadata } from '../../types/dialect.js'
 import type { ResponseHead, StreamDecision } from '../../types/responseSink.js'
 import { findHeader } from '../../utils/headers.js'
+import { notifyOfSignals, pauseOf } from '../../utils/responseSignals.js'
 import type { Connection } from './connectionPool.js'
 import type { ExchangeHandler, ExchangeFailure } from './httpConnection.js'
 import type { ParsedHead } from './responseParser.js'
@@ -28,6 +29,8 @@
 export interface AttemptObserver {
   /** The head of the response says how many requests a second the upstream takes. */
   onRateNotice (attempt: ActiveAttempt, notice: RateNotice): void
+  /** The head of the response says that the upstream is leaving or asks for a pause. */
+  onSignals (attempt: ActiveAttempt, signals: ResponseSignals): void
   /** Bytes were sent or received, which restarts stall detection. */
   onProgress (attempt: ActiveAttempt): void
   /** The response is too long to be buffered; `chunks` are those received so far. */
@@ -70,6 +73,7 @@
   private stage: AttemptStage = 'unsent'
   private head: ResponseHead | undefined
   private report: LoadReport | undefined
+  private retryAfterMs: Milliseconds | undefined
   private bufferedChunks: Buffer[] = []
   private bodyBytes = 0
 
@@ -120,6 +124,8 @@
     if (!answersAttempt(metadata, request.echoedId)) return this.onMismatchedHead()
     this.report = metadata.report
     this.notifyOfRate(metadata)
+    this.retryAfterMs = pauseOf(metadata)
+    notifyOfSignals(metadata, signals => this.options.observer.onSignals(this, signals))
     const isFramed = this.hasFraming(head)
     this.head = { status: head.status, rawHeaders: head.rawHeaders, isFramed }
     if (metadata.notRun) this.stage = 'refused'
@@ -143,16 +149,16 @@
 
   onComplete (): void {
     this.connection.lastResponseAt = this.options.clock.now()
-    if (this.stage === 'refused') return this.finish({ kind: 'notRun', report: this.report })
+    if (this.stage === 'refused') return this.finish({ kind: 'notRun', report: this.report, retryAfterMs: this.retryAfterMs })
     if (this.stage !== 'buffering' && this.stage !== 'streaming') return
     const head = this.head as ResponseHead
     if (this.stage === 'buffering') this.bufferedResponse = { head, body: this.bufferedChunks }
-    this.finish({ kind: 'answered', serverError: head.status >= 500, report: this.report, bytes: this.bodyBytes })
+    this.finish({ kind: 'answered', serverError: head.status >= 500, report: this.report, retryAfterMs: this.retryAfterMs, bytes: this.bodyBytes })
   }
 
   onFailure (failure: ExchangeFailure): void {
     if (this.stage === 'ended') return
-    this.finish({ kind: this.endKindOf(failure), report: this.report })
+    this.finish({ kind: this.endKindOf(failure), report: this.report, retryAfterMs: this.retryAfterMs })
   }
 
   /**
--- a/packages/daemon/src/core/upstreams/serviceForwarder.ts
+++ b/packages/daemon/src/core/upstreams/serviceForwarder.ts
@@ -1,8 +1,8 @@
-import type { Attempt, AttemptEnd, CallResult, CancelReason, DispatchPort, RateLimitChange, ResultDiagnostics } from '@cowsliplead/core/types/dispatch.js'
+import type { Attempt, AttemptEnd, CallResult, CancelReason, DispatchPort, RateLimitChange, ResultDiagnostics, UpstreamSignal } from '@cowsliplead/core/types/dispatch.js'
 import type { Clock, Milliseconds } from '@cowsliplead/core/types/clock.js'
 import type { SuspectMark } from '@cowsliplead/core/types/suspectMark.js'
 import type { PolicyExceptions, RoutingPolicy } from '@cowsliplead/core/types/routingPolicy.js'
-import type { RateNotice, Upstream } from '@cowsliplead/core/types/upstream.js'
+import type { RateNotice, ResponseSignals, Upstream } from '@cowsliplead/core/types/upstream.js'
 import type { Dispatcher } from '@cowsliplead/core/core/dispatch/dispatcher.js'
 import type { ResponseHead, StreamDecision } from '../../types/responseSink.js'
 import type { Dialect } from '../../types/dialect.js'
@@ -38,6 +38,8 @@
   onUpstreams (registered: number, used: number): void
   /** An upstream has named, changed or withdrawn a request rate. */
   onRateLimit (change: RateLimitChange): void
+  /** An upstream is leaving or asks for a pause. */
+  onUpstreamSignal (signal: UpstreamSignal): void
 }
 
 /** An attempt in progress and the pool that its connection returns to. */
@@ -91,6 +93,10 @@
     this.options.observer?.onRateLimit(change)
   }
 
+  onUpstreamSignal (signal: UpstreamSignal): void {
+    this.options.observer?.onUpstreamSignal(signal)
+  }
+
   /** Number of calls without a result. */
   get callsInFlight (): number {
     return this.calls.size
@@ -121,6 +127,12 @@
     this.rescheduleTick()
   }
 
+  /** Takes the upstreams of these failure domains out of use. */
+  setEvacuatedDomains (domains: ReadonlySet<string>): void {
+    this.dispatcher.setEvacuatedDomains(domains)
+    this.rescheduleTick()
+  }
+
   submit (call: ActiveCall): void {
     this.calls.set(call.call.id, call)
     this.dispatcher.submit(call.call)
@@ -195,6 +207,11 @@
     if (upstreamId !== undefined) this.dispatcher.onRateNotice(upstreamId, notice)
   }
 
+  onSignals ({ attemptId }: ActiveAttempt, signals: ResponseSignals): void {
+    this.dispatcher.onAttemptSignals(attemptId, signals)
+    this.rescheduleTick()
+  }
+
   onProgress (attempt: ActiveAttempt): void {
     this.dispatcher.onAttemptProgress(attempt.attemptId)
   }
@@ -226,7 +243,8 @@
     const connections = this.connections.poolFor(upstreamId)
     const connection = connections?.acquire(false)
     if (connections === undefined || connection === undefined) return
-    UpstreamProbe.send({ connection, path: healthPath, upstreamId, dialect, clock }, result => {
+    const onSignals = (signals: ResponseSignals): void => this.dispatcher.onProbeSignals(upstreamId, signals)
+    UpstreamProbe.send({ connection, path: healthPath, upstreamId, dialect, clock, onSignals }, result => {
       connections.release(connection)
       if (result.kind === 'report') this.dispatcher.onProbeReport(upstreamId, result.report, result.rateNotice)
       else this.dispatcher.onProbeFailed(upstreamId)
--- a/packages/daemon/src/core/upstreams/upstreamProbe.ts
+++ b/packages/daemon/src/core/upstreams/upstreamProbe.ts
@@ -1,6 +1,7 @@
 import type { Clock, Milliseconds } from '@cowsliplead/core/types/clock.js'
-import type { LoadReport, RateNotice } from '@cowsliplead/core/types/upstream.js'
+import type { LoadReport, RateNotice, ResponseSignals } from '@cowsliplead/core/types/upstream.js'
 import type { Dialect } from '../../types/dialect.js'
+import { notifyOfSignals } from '../../utils/responseSignals.js'
 import type { Connection } from './connectionPool.js'
 import type { ExchangeHandler } from './httpConnection.js'
 import type { ParsedHead } from './responseParser.js'
@@ -20,6 +21,8 @@
   readonly upstreamId: string
   readonly dialect: Dialect
   readonly clock: Clock
+  /** Called with the head of the response if it says that the upstream is leaving or asks for a pause. */
+  readonly onSignals: (signals: ResponseSignals) => void
 }
 
 /** Requests the load report of one upstream. The health that it reports is ignored, as it may be wrong either way. */
@@ -52,6 +55,7 @@
     connection.idleTimeoutMs = metadata.idleTimeoutMs
     if (!metadata.isFromOtherUpstream) this.report = metadata.report
     this.rateNotice = metadata.rateNotice
+    notifyOfSignals(metadata, this.options.onSignals)
     return 'accept'
   }
 
--- a/packages/daemon/src/types/daemonStatus.ts
+++ b/packages/daemon/src/types/daemonStatus.ts
@@ -13,6 +13,8 @@
   configVersion: z.number().optional(),
   /** Entries of the routes in force that cannot be used, with the reasons. */
   rejectedEntries: z.array(z.object({ kind: z.string(), name: z.string(), reason: z.string() })).optional(),
+  /** Failure domains whose upstreams get no new work, by order of an operator. */
+  evacuatedDomains: z.array(z.string()).optional(),
   /** Time since the store last answered a read of the routes, in milliseconds; absent before the first answer. */
   storeAgeMs: z.number().optional(),
   callsInFlight: z.number(),
