--- a/packages/core/__tests__/coldUpstreams.test.ts
+++ b/packages/core/__tests__/coldUpstreams.test.ts
@@ -184,3 +184,17 @@
     expect(directory.get('u1')?.warmAt).to.equal(3000)
   })
 })
+
+describe('upstreams whose failure domain was evacuated', () => {
+  // Guards against a flood on upstreams that became cold before the evacuation ended and have not said so yet.
+  it('get no more than the warm-up rate after the evacuation', () => {
+    const harness = Harness.create(2)
+    harness.dispatcher.setWarmup({ durationMs: WARMUP_MS, requestsPerSecond: 5 })
+    harness.dispatcher.setEvacuatedDomains(new Set(['domain0']))
+    harness.warmUp()
+    harness.dispatcher.setEvacuatedDomains(new Set())
+    expect(harness.dispatcher.snapshot().upstreams.map(({ isCold }) => isCold)).to.deep.equal([true, false])
+    harness.advance(WARMUP_MS)
+    expect(harness.dispatcher.snapshot().upstreams.some(({ isCold }) => isCold)).to.equal(false)
+  })
+})
--- a/packages/core/src/types/dispatcherSnapshot.ts
+++ b/packages/core/src/types/dispatcherSnapshot.ts
@@ -40,6 +40,10 @@
   /** Whether it is cold and its service limits the requests to cold upstreams. */
   readonly isCold: boolean
   readonly draining: boolean
+  /** It has said that it is leaving. */
+  readonly leaving: boolean
+  /** Remaining time for which it has asked for no requests; 0 if it has not. */
+  readonly pauseLeftMs: Milliseconds
   readonly ejected: boolean
   readonly attempts: number
   readonly failures: number
@@ -54,4 +58,6 @@
   readonly running: number
   readonly counters: DispatchCounters
   readonly upstreams: readonly UpstreamSnapshot[]
+  /** Registered upstreams in evacuated failure domains, which are not listed. */
+  readonly evacuatedUpstreams: number
 }
