Admit requests of customers by leased tokens of their quotas

Cause: customers have a rate and a burst over all VMs together, and nothing held them to it. Change: a few VMs per customer, chosen by a hash of both ids, each own an equal part of the quota as a token bucket that starts empty. The other VMs ask them for tokens that expire after 250 ms, in batches by their demand; a VM that reaches no holder has a small allowance out of the tolerance. The exchange is JSON over the peer server, checked with zod. The proxy asks before it reads the body. Without customers nothing changes.

--- a/packages/daemon/src/core/callers/proxy.ts
+++ b/packages/daemon/src/core/callers/proxy.ts
@@ -2,7 +2,9 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import type { Clock, Milliseconds } from '@cowsliplead/core/types/clock.js'
+import type { Customer } from '@cowsliplead/core/types/customer.js'
 import type { Call } from '@cowsliplead/core/types/dispatch.js'
+import type { QuotaDecision } from '@cowsliplead/core/types/quota.js'
 import type { RequestKind } from '@cowsliplead/core/types/requestKind.js'
 import type { ResultCodeName } from '@cowsliplead/core/types/resultCode.js'
 import type { Dialect } from '../../types/dialect.js'
@@ -24,6 +26,8 @@
 export interface RequestTarget {
   readonly forwarder: ServiceForwarder
   readonly kind: RequestKind
+  /** Undefined if the request needs no key. */
+  readonly customer?: Customer | undefined
 }
 
 /** Options of the proxy. */
@@ -33,6 +37,8 @@
   readonly dialect: Dialect
   /** Returns the target of a request, or a result code if it cannot be routed. */
   readonly route: (request: IncomingMessage) => RequestTarget | ResultCodeName
+  /** Decides whether a customer's request is within its quota, and returns a function that withdraws the request. */
+  readonly admit: (customer: Customer, decide: (decision: QuotaDecision) => void) => () => void
   /** Timeout for receiving a buffered body, and for each pause within a streamed one. */
   readonly bodyTimeoutMs: Milliseconds
   /** Size limit of request bodies; unlimited if absent. */
@@ -96,8 +102,32 @@
       return sink.sendError('stopping', '', { retryAfterMs: STOPPING_RETRY_MS })
     }
     const routed = { request, response, sink, target, requestId, arrivedAt, deadlineAt }
+    this.checkQuota(routed)
+  }
+
+  /** The caller may leave before the decision. Until then the body is not read, and Node keeps it. */
+  private checkQuota (routed: RoutedRequest): void {
+    const { target: { customer }, response } = routed
+    if (customer === undefined) return this.read(routed)
+    const withdraw = this.options.admit(customer, decision => this.onQuotaDecision(routed, decision))
+    response.once('close', withdraw)
+  }
+
+  private onQuotaDecision (routed: RoutedRequest, decision: QuotaDecision): void {
+    const { sink, requestId, deadlineAt } = routed
+    if (decision.kind === 'refused') {
+      this.options.onRefused(requestId, 'overQuota')
+      return sink.sendError('overQuota', '', { retryAfterMs: decision.retryAfterMs })
+    }
+    if (this.options.clock.now() < deadlineAt) return this.read(routed)
+    this.options.onRefused(requestId, 'deadlinePassed')
+    sink.sendError('deadlinePassed', '')
+  }
+
+  private read (routed: RoutedRequest): void {
+    const { request, sink, deadlineAt } = routed
     readBody(request, {
-      timeoutMs: Math.min(this.options.bodyTimeoutMs, Math.max(deadlineAt - arrivedAt, 0)),
+      timeoutMs: Math.min(this.options.bodyTimeoutMs, Math.max(deadlineAt - this.options.clock.now(), 0)),
       maxBytes: this.options.maxBodyBytes?.() ?? Infinity,
       onBody: body => this.trySubmit(routed, body),
       onTimeout: () => sink.sendError('bodyTimeout', ''),
--- a/packages/daemon/src/core/gateway/gateway.ts
+++ b/packages/daemon/src/core/gateway/gateway.ts
@@ -21,6 +21,7 @@
 import { PolicyRestorer } from '../control/policyRestorer.js'
 import { PolicyState, POLICY_KEY } from '../control/policyState.js'
 import { SharedSuspects, SUSPECTS_GROUP } from '../control/sharedSuspects.js'
+import { Quotas } from '../quotas/quotas.js'
 import type { TableReader } from '../control/tableReader.js'
 import { Metrics } from '../operators/metrics.js'
 import { EventLoopMonitor } from '../supervision/eventLoopMonitor.js'
@@ -77,6 +78,7 @@
   private readonly fleet: Fleet
   /** Undefined if this VM takes no requests of the others. */
   private readonly peerServer: PeerServer | undefined
+  private readonly quotas: Quotas
   private readonly proxy: Proxy
   private readonly callerServer: CallerServer
   private readonly readinessServer: ReadinessServer
@@ -107,7 +109,10 @@
       store,
       clock,
       logger,
-      onSizeChange: vms => this.onFleetSizeChange(vms)
+      onSizeChange: vms => {
+        this.quotas.onMembersChange()
+        this.onFleetSizeChange(vms)
+      }
     })
     const { feed, membership } = this.fleet
     this.controlState = ControlState.create({
@@ -125,6 +130,7 @@
       feed,
       consumers: { [POLICY_KEY]: this.policyState, [SUSPECTS_GROUP]: this.sharedSuspects, [MEMBERS_GROUP]: membership }
     })
+    this.quotas = Quotas.create({ settings, members, clock, random: this.random, logger, config: () => this.services.config })
     this.proxy = this.createProxy()
     this.peerServer = this.createPeerServer()
     this.callerServer = CallerServer.create({
@@ -243,6 +249,7 @@
     this.sharedSuspects.close()
     this.dependencies.store.close()
     this.services.close()
+    this.quotas.close()
     this.tickTimer.stop()
   }
 
@@ -276,6 +283,7 @@
       ids: RequestIds.create(this.settings.vmId),
       dialect: this.dependencies.dialect,
       route: request => this.services.route(request),
+      admit: (customer, decide) => this.quotas.admit(customer, decide),
       bodyTimeoutMs: this.settings.bodyTimeoutMs,
       maxBodyBytes: () => this.services.config?.limits.maxBodyBytes ?? Infinity,
       stopPlan: () => this.stopPlan,
@@ -291,7 +299,7 @@
       ? undefined
       : PeerServer.create({
           address: peerAddress,
-          handlers: {},
+          handlers: { quota: this.quotas.handler },
           onError: error => logger.error('internal error while handling a request of another VM', { error: error.stack })
         })
   }
@@ -318,6 +326,7 @@
       logLinesLost: () => this.eventLog.omitted + this.eventLog.dropped,
       stallCount: () => this.stallCount,
       fleet: () => this.fleet.snapshot(),
+      quotas: () => this.quotas.counters,
       storeReads: () => this.tableReaders().map(({ table, reads }) => ({ table, reads })),
       components: () => this.supervisor.componentStates()
     })
@@ -334,6 +343,7 @@
       ...this.status(),
       control: this.controlState.describe(),
       fleet: this.fleet.snapshot(),
+      quotas: this.quotas.describe(),
       policy: this.services.policyDocument,
       services: Object.fromEntries(this.services.forwarders().map(forwarder => [forwarder.service, forwarder.describe()]))
     }
--- a/packages/daemon/src/core/operators/metrics.ts
+++ b/packages/daemon/src/core/operators/metrics.ts
@@ -1,4 +1,5 @@
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
+import type { QuotaCounters } from '@cowsliplead/core/core/quotas/leaseAccount.js'
 import type { FleetSnapshot } from '../feed/fleet.js'
 import type { ServiceForwarder } from '../upstreams/serviceForwarder.js'
 import type { ServiceCounters } from '../upstreams/serviceCounters.js'
@@ -20,6 +21,7 @@
   logLinesLost (): number
   callsInFlight (): number
   fleet (): FleetSnapshot
+  quotas (): QuotaCounters
   /** Reads of the store since the start, by table. */
   storeReads (): ReadonlyArray<{ readonly table: string, readonly reads: number }>
   components (): readonly ComponentState[]
@@ -56,6 +58,9 @@
     this.addGauge('cowsliplead_fleet_vms', 'Known entry VMs, this one included', () => source.fleet().vms)
     this.addGauge('cowsliplead_followed_vms', 'Entry VMs that this one follows for changes of the control store', () => source.fleet().follows.length)
     this.addGauge('cowsliplead_followers', 'Entry VMs that follow this one for changes of the control store', () => source.fleet().followers)
+    this.addGauge('cowsliplead_over_quota_requests', 'Requests since the start that were refused because of a quota', () => source.quotas().refused)
+    this.addGauge('cowsliplead_quota_allowance_requests', 'Requests since the start that ran by the allowance of a VM without contact to the holders of a quota', () => source.quotas().allowanceUsed)
+    this.addLeases(() => source.quotas())
     this.addStoreReads(() => source.storeReads())
     this.addRestarts(() => source.components())
   }
@@ -121,6 +126,19 @@
     })
   }
 
+  private addLeases (quotas: () => QuotaCounters): void {
+    this.registry.registerMetric(new Counter({
+      name: 'cowsliplead_quota_leases_total',
+      help: 'Requests for tokens of customers, by outcome',
+      labelNames: ['outcome'],
+      registers: [],
+      collect () {
+        this.reset()
+        for (const [outcome, count] of Object.entries(quotas().leases)) this.inc({ outcome }, count)
+      }
+    }))
+  }
+
   private addStoreReads (storeReads: MetricsSource['storeReads']): void {
     this.registry.registerMetric(new Counter({
       name: 'cowsliplead_store_reads_total',
