Refuse keys whose configuration is not confirmed to be recent

A VM without contact to the store went on accepting the keys that it knew last, so that a withdrawn key could be used there without limit.

The answer counts from the instant of sending the request, since it may lie in a socket while the VM is suspended. - A VM whose configuration is older than 2.5 s follows two further VMs, chosen at random, and takes a copy of the table if it missed changes that the store does not give it. The source, which follows nobody, could not go on without that. - VMs exchange the version in force and for how long; one with a lower version is at least that old, also where a restored store says otherwise. - Requests with keys get 503 with a Retry-After while the age is over the limit; log lines at both changes, a gauge, an entry in /status.

--- a/packages/bench/src/capacity.ts
+++ b/packages/bench/src/capacity.ts
@@ -4,12 +4,14 @@
 import { hideBin } from 'yargs/helpers'
 import { formatCapacity } from './core/capacity/capacityReport.js'
 import { measureControl } from './core/capacity/controlCost.js'
+import { measureCustomers } from './core/capacity/customerCost.js'
 import { measureDispatchers } from './core/capacity/dispatcherCost.js'
 import type { CapacityReport, Measurement } from './types/capacity.js'
 
 const GROUPS = {
   dispatcher: async (rounds: number) => measureDispatchers(rounds),
-  control: () => measureControl()
+  control: () => measureControl(),
+  customers: async (rounds: number) => measureCustomers(rounds)
 }
 
 const args = yargs(hideBin(process.argv))
--- a/packages/daemon/src/core/callers/proxy.ts
+++ b/packages/daemon/src/core/callers/proxy.ts
@@ -21,6 +21,9 @@
 /** After this time, a caller that a stopping VM has refused may send its request to another one. */
 const STOPPING_RETRY_MS: Milliseconds = 20
 
+/** VMs that have lost contact ask others for the age of their keys twice a second. */
+const UNCONFIRMED_RETRY_MS: Milliseconds = 500
+
 /** The service that a request is routed to, its kind and its customer. */
 export interface RequestTarget {
   readonly forwarder: ServiceForwarder
@@ -96,7 +99,7 @@
     const requestId = dialect.forwardsCallerIds && callerId !== undefined ? callerId : ids.next(callerId)
     const sink = this.createSink(request, response, callerId ?? requestId)
     const target = route(request)
-    if (typeof target === 'string') return sink.sendError(target, '')
+    if (typeof target === 'string') return sink.sendError(target, '', { retryAfterMs: target === 'keysUnconfirmed' ? UNCONFIRMED_RETRY_MS : undefined })
     const timeLeftMs = dialect.timeLeftMs(request.headers) ?? Infinity
     const deadlineAt = arrivedAt + Math.min(timeLeftMs, target.kind.deadlineMs)
     if (this.options.stopPlan()?.accepts(arrivedAt, deadlineAt) === false) {
--- a/packages/daemon/src/core/control/controlState.ts
+++ b/packages/daemon/src/core/control/controlState.ts
@@ -4,6 +4,7 @@
 import type { Upstream } from '@cowsliplead/core/types/upstream.js'
 import type { UpstreamEntry } from '@cowsliplead/core/types/upstreamEntry.js'
 import type { ControlStore, TableRecord } from '../../types/controlStore.js'
+import type { KeyConfirmation } from '../customers/keyConfirmation.js'
 import type { ChangeFeed } from '../feed/changeFeed.js'
 import type { Logger } from '../operators/logger.js'
 import { logStoreOutages } from './storeOutageLog.js'
@@ -48,6 +49,8 @@
   readonly logger: Logger
   readonly renewalMs: Milliseconds
   readonly feed: ChangeFeed
+  /** Undefined if the age of keys is not limited. */
+  readonly keyConfirmation?: KeyConfirmation | undefined
   /** Called after a configuration has come into force. */
   readonly onConfig: () => void
 }
@@ -63,11 +66,12 @@
   private expiryTimer: NodeJS.Timeout | undefined
 
   private constructor (private readonly options: ControlStateOptions) {
-    const { store, clock, renewalMs, feed } = options
+    const { store, clock, renewalMs, feed, keyConfirmation } = options
     this.directory = UpstreamDirectory.create({ renewalMs })
     this.configReader = TableReader.create({
-      store, clock, feed, table: 'configuration', consumer: this.createConfigConsumer(), waitMs: READ_WAIT_MS, pauseMs: 0, maxFeedAgeMs: MAX_FEED_AGE_MS, startsFromCopy: true
+      store, clock, feed, table: 'configuration', consumer: this.createConfigConsumer(), waitMs: READ_WAIT_MS, pauseMs: 0, maxFeedAgeMs: MAX_FEED_AGE_MS, startsFromCopy: true, confirmation: keyConfirmation
     })
+    if (keyConfirmation !== undefined) keyConfirmation.position = () => this.configReader.position
     this.upstreamReader = TableReader.create({
       store, clock, feed, table: 'upstreams', consumer: this.createUpstreamConsumer(), waitMs: READ_WAIT_MS, pauseMs: UPSTREAMS_PAUSE_MS, maxFeedAgeMs: MAX_FEED_AGE_MS, startsFromCopy: true
     })
--- a/packages/daemon/src/core/control/tableReader.ts
+++ b/packages/daemon/src/core/control/tableReader.ts
@@ -2,7 +2,9 @@
 import type { ControlStore, StoreEpoch, StoreFailure, TableName, TablePosition, TableRecord } from '../../types/controlStore.js'
 import type { Component } from '../../types/component.js'
 import type { FeedTable, OffsetChanges, TableCopy } from '../../types/feedTable.js'
+import { isAhead } from '../../utils/tablePosition.js'
 import { sleep } from '../../utils/sleep.js'
+import type { ReadConfirmation } from '../customers/keyConfirmation.js'
 import type { ChangeFeed } from '../feed/changeFeed.js'
 import { readSnapshot, type TableSnapshot } from './tableSnapshot.js'
 
@@ -52,6 +54,11 @@
   readonly maxFeedAgeMs: Milliseconds
   /** Whether a VM that starts may take another one's copy of the table instead of reading it; false by default. */
   readonly startsFromCopy?: boolean
+  /**
+   * Receives the reads that were applied. The reader then also takes another VM's copy while the store does not answer this
+   * VM and changes were missed. Undefined if the age of the table is not limited.
+   */
+  readonly confirmation?: ReadConfirmation | undefined
 }
 
 /**
@@ -90,7 +97,13 @@
   }
 
   get needsCopy (): boolean {
-    return this.mayTakeCopy && this.position === undefined
+    return (this.mayTakeCopy && this.position === undefined) || this.mayCatchUp
+  }
+
+  /** Whether this VM has missed changes and cannot read them from the store. */
+  private get mayCatchUp (): boolean {
+    const { feed, table, confirmation } = this.options
+    return confirmation !== undefined && this.isFailing && this.position !== undefined && feed.isBehind(table, this.position)
   }
 
   records (): readonly TableRecord[] {
@@ -144,18 +157,21 @@
   }
 
   private async readAll (signal: AbortSignal): Promise<StoreFailure | undefined> {
-    const { store, table, feed } = this.options
+    const { store, table, feed, confirmation } = this.options
+    const sentAt = confirmation?.now()
     const snapshot = await readSnapshot(store, table)
     if (signal.aborted) return undefined
     if (snapshot.isErr) return snapshot.error
     this.onAnswer()
     this.replace(snapshot.value)
+    if (sentAt !== undefined) confirmation?.onRead(snapshot.value.position, sentAt)
     feed.publish(table, snapshot.value.position)
     return undefined
   }
 
   private async readChanges (position: TablePosition, waitMs: Milliseconds, signal: AbortSignal): Promise<StoreFailure | undefined> {
-    const { store, table, feed } = this.options
+    const { store, table, feed, confirmation } = this.options
+    const sentAt = confirmation?.now()
     const changes = await store.readChanges(table, position.offset, waitMs)
     if (signal.aborted) return undefined
     if (changes.isErr) {
@@ -166,6 +182,7 @@
     if (epoch !== position.epoch) return this.onOtherEpoch()
     this.onAnswer()
     this.apply({ epoch, from: position.offset, records })
+    if (sentAt !== undefined) confirmation?.onRead({ epoch, offset: end }, sentAt)
     feed.publish(table, { epoch, offset: end }, { epoch, from: position.offset, records })
     return undefined
   }
@@ -188,7 +205,9 @@
 
   receiveCopy (copy: TableCopy): void {
     // An old copy may contain upstreams that have left since.
-    if (!this.needsCopy || copy.ageMs > this.options.maxFeedAgeMs) return
+    const isNewer = this.position !== undefined && isAhead(copy.position, this.position)
+    if (!this.needsCopy || (copy.ageMs > this.options.maxFeedAgeMs && !isNewer)) return
+    if (this.position !== undefined && !isNewer) return
     this.reportErrors(() => {
       this.onAnswer()
       this.replace(copy)
--- a/packages/daemon/src/core/customers/authenticator.ts
+++ b/packages/daemon/src/core/customers/authenticator.ts
@@ -3,6 +3,7 @@
 import type { Customer } from '@cowsliplead/core/types/customer.js'
 import type { ResultCodeName } from '@cowsliplead/core/types/resultCode.js'
 import type { Route, RouteConfig } from '@cowsliplead/core/types/routes.js'
+import type { ConfigurationAge } from './configurationAge.js'
 import type { Dialect } from '../../types/dialect.js'
 
 /** Identifies the customer of each request by its key, where the configuration has customers. */
@@ -11,10 +12,11 @@
   readonly refusals = new Map<ResultCodeName, number>()
   private directory: CustomerDirectory | undefined
 
-  private constructor (private readonly dialect: Pick<Dialect, 'credential'>) {}
+  private constructor (private readonly dialect: Pick<Dialect, 'credential'>, private readonly age: ConfigurationAge | undefined) {}
 
-  static create (dialect: Pick<Dialect, 'credential'>): Authenticator {
-    return new Authenticator(dialect)
+  /** Without `age`, the last known keys are accepted. */
+  static create (dialect: Pick<Dialect, 'credential'>, age?: ConfigurationAge): Authenticator {
+    return new Authenticator(dialect, age)
   }
 
   /** Whether the configuration has customers; requests then carry keys, which must not reach upstreams. */
@@ -24,6 +26,7 @@
 
   /** Applies the customers of a new configuration. */
   setConfig (config: RouteConfig): void {
+    this.age?.onConfig(config.version)
     this.directory = CustomerDirectory.create(config)
   }
 
@@ -36,6 +39,7 @@
   }
 
   private findCustomer (directory: CustomerDirectory, headers: IncomingHttpHeaders): Customer | ResultCodeName {
+    if (this.age?.isConfirmed() === false) return 'keysUnconfirmed'
     const key = this.dialect.credential(headers)
     const owner = key === undefined ? undefined : directory.find(key)
     if (owner === undefined) return 'unknownKey'
--- a/packages/daemon/src/core/feed/changeFeed.ts
+++ b/packages/daemon/src/core/feed/changeFeed.ts
@@ -146,6 +146,11 @@
     return this.clock.now() - (this.ownPositions.get(table)?.readAt ?? -Infinity)
   }
 
+  /** Whether a followed VM knows of changes to the table beyond `reached`. */
+  isBehind (table: TableName, reached: TablePosition): boolean {
+    return this.positionsOf(table).some(position => isAhead(position, reached))
+  }
+
   /** Waits until another VM's copy of the table has arrived, or none is to be expected. */
   async waitForCopy (table: FeedTable, signal: AbortSignal): Promise<void> {
     const startedAt = this.clock.now()
--- a/packages/daemon/src/core/feed/feedConnection.ts
+++ b/packages/daemon/src/core/feed/feedConnection.ts
@@ -2,7 +2,6 @@
 import type { FleetMember } from '@cowsliplead/core/types/fleetMember.js'
 import type { Milliseconds } from '@cowsliplead/core/types/clock.js'
 import { parseJson } from '@cowsliplead/core/utils/parseJson.js'
-import type { TableName } from '../../types/controlStore.js'
 import { FEED_MESSAGE, type FeedMessage, type FeedRequest } from '../../types/feedMessage.js'
 import { HEARTBEAT_MS } from './feedServer.js'
 
@@ -19,8 +18,8 @@
 
 /** Receives the events of a connection. */
 export interface FeedConnectionObserver {
-  /** The tables of which this VM needs a copy. */
-  neededCopies (): TableName[]
+  /** What this VM has to ask a VM that it follows. */
+  requests (): FeedRequest[]
   onMessage (followed: FleetMember, message: FeedMessage): void
   /** Called at most once, and not after `close`. */
   onDisconnect (followed: FleetMember, reason: DisconnectReason): void
@@ -36,7 +35,7 @@
     this.socket = new WebSocket(`ws://${followed.feedAddress}`, {
       handshakeTimeout: CONNECT_TIMEOUT_MS, perMessageDeflate: false, maxPayload: MAX_MESSAGE_BYTES
     })
-    this.socket.on('open', () => this.requestCopies())
+    this.socket.on('open', () => this.sendRequests())
     this.socket.on('message', data => this.onMessage(data))
     this.socket.on('error', () => this.handleDisconnect('closed'))
     this.socket.on('close', () => this.handleDisconnect('closed'))
@@ -48,6 +47,12 @@
     return new FeedConnection(followed, observer)
   }
 
+  /** Asks the followed VM, unless the connection is not open. */
+  sendRequests (): void {
+    if (this.socket.readyState !== WebSocket.OPEN) return
+    for (const request of this.observer.requests()) this.socket.send(JSON.stringify(request))
+  }
+
   /** Closes the connection without notifying the observer. */
   close (): void {
     this.isClosed = true
@@ -55,13 +60,6 @@
     this.socket.terminate()
   }
 
-  private requestCopies (): void {
-    const tables = this.observer.neededCopies()
-    if (tables.length === 0) return
-    const request: FeedRequest = { kind: 'copies', tables }
-    this.socket.send(JSON.stringify(request))
-  }
-
   private onMessage (data: RawData): void {
     if (this.isClosed) return
     this.restartSilenceTimer()
--- a/packages/daemon/src/core/feed/feedFollower.ts
+++ b/packages/daemon/src/core/feed/feedFollower.ts
@@ -1,11 +1,13 @@
-import type { FleetMembers } from '@cowsliplead/core/core/membership/fleetMembers.js'
+import type { FleetMembers, LivenessCheck } from '@cowsliplead/core/core/membership/fleetMembers.js'
 import type { Clock, Milliseconds } from '@cowsliplead/core/types/clock.js'
 import type { FleetMember, FleetRole } from '@cowsliplead/core/types/fleetMember.js'
-import type { TableName } from '../../types/controlStore.js'
-import type { FeedMessage } from '../../types/feedMessage.js'
+import type { FeedMessage, FeedRequest } from '../../types/feedMessage.js'
+import { SeededRandom } from '@cowsliplead/core/types/randomSource.js'
 import type { TableCopy } from '../../types/feedTable.js'
 import type { Logger } from '../operators/logger.js'
 import type { ChangeFeed } from './changeFeed.js'
+import type { ConfirmationExchange } from './confirmationExchange.js'
+import { Detours } from './detours.js'
 import { FeedConnection, type FeedConnectionObserver, type DisconnectReason } from './feedConnection.js'
 import { decodeFeedRecords } from './feedRecords.js'
 
@@ -30,6 +32,9 @@
 
 /** Options of the follower. */
 export interface FeedFollowerOptions {
+  readonly vmId: string
+  /** Undefined if the age of the configuration is not limited. */
+  readonly confirmations?: ConfirmationExchange | undefined
   readonly members: FleetMembers
   readonly feed: ChangeFeed
   readonly clock: Clock
@@ -42,6 +47,7 @@
 export class FeedFollower implements FeedConnectionObserver {
   private readonly connections = new Map<string, FeedConnection>()
   private readonly outages = new Map<string, Outage>()
+  private readonly detours = Detours.create(SeededRandom.create(process.pid ^ Date.now()))
   private timer: NodeJS.Timeout | undefined
   private currentRole: FleetRole | undefined
 
@@ -75,7 +81,7 @@
   reconcile (): void {
     const { members } = this.options
     const isUp = (vmId: string): boolean => this.isUp(vmId)
-    const desired = new Map(members.membersToFollow(isUp).map(member => [member.vmId, member]))
+    const desired = new Map(this.membersToFollow(isUp).map(member => [member.vmId, member]))
     for (const [vmId, { followed }] of this.connections) {
       if (desired.get(vmId)?.feedAddress !== followed.feedAddress) this.disconnect(vmId)
     }
@@ -85,8 +91,11 @@
     this.updateRole(members.role(isUp))
   }
 
-  neededCopies (): TableName[] {
-    return this.options.feed.neededCopies()
+  requests (): FeedRequest[] {
+    const { feed, confirmations } = this.options
+    const tables = feed.neededCopies()
+    const requests: FeedRequest[] = tables.length === 0 ? [] : [{ kind: 'copies', tables }]
+    return confirmations === undefined ? requests : [...requests, confirmations.request()]
   }
 
   onMessage ({ vmId }: FleetMember, message: FeedMessage): void {
@@ -104,16 +113,41 @@
     switch (message.kind) {
       case 'positions': return feed.receivePositions(vmId, message.tables)
       case 'changes': return feed.receiveChanges(message.table, { epoch: message.epoch, from: message.from, records: decodeFeedRecords(message.records) })
-      case 'copy': return feed.receiveCopy(message.table, decodeCopy(message))
+      case 'copy': return this.receiveCopy(vmId, message)
+      case 'confirmed': return this.options.confirmations?.receive(message)
       case 'declined': return feed.receiveDecline(message.table)
     }
   }
 
+  private receiveCopy (vmId: string, message: Extract<FeedMessage, { kind: 'copy' }>): void {
+    this.options.feed.receiveCopy(message.table, decodeCopy(message))
+    if (this.options.confirmations !== undefined) this.connections.get(vmId)?.sendRequests()
+  }
+
   private checkFollowed (): void {
     for (const vmId of this.connections.keys()) {
       if (this.isBehind(vmId)) this.recordFailure(vmId, 'behind')
     }
     this.reconcile()
+    this.checkAge()
+  }
+
+  /** Asks the followed VMs how old their configuration is, where that is limited. */
+  private checkAge (): void {
+    const { confirmations } = this.options
+    if (confirmations === undefined) return
+    for (const connection of this.connections.values()) connection.sendRequests()
+    confirmations.age.isConfirmed()
+  }
+
+  /** The VMs that this one follows by its role, and further ones while its configuration is too old. */
+  private membersToFollow (isUp: LivenessCheck): FleetMember[] {
+    const { members, confirmations, clock } = this.options
+    const followed = members.membersToFollow(isUp)
+    if (confirmations === undefined) return [...followed]
+    const others = members.list().map(({ vmId }) => vmId).filter(vmId => vmId !== this.options.vmId && isUp(vmId) && !followed.some(member => member.vmId === vmId))
+    const detours = this.detours.update(confirmations.age.ageMs, others, clock.now()).flatMap(vmId => members.get(vmId) ?? [])
+    return [...followed, ...detours]
   }
 
   /** Whether this VM reaches the store and the followed one does not. */
--- a/packages/daemon/src/core/feed/feedServer.ts
+++ b/packages/daemon/src/core/feed/feedServer.ts
@@ -3,10 +3,11 @@
 import { parseJson } from '@cowsliplead/core/utils/parseJson.js'
 import type { Component } from '../../types/component.js'
 import type { TableName } from '../../types/controlStore.js'
-import { FEED_REQUEST, type FeedMessage } from '../../types/feedMessage.js'
+import { FEED_REQUEST, type ConfirmationRequest, type FeedMessage } from '../../types/feedMessage.js'
 import type { FeedPublisher, OffsetChanges } from '../../types/feedTable.js'
 import { splitAddress } from '../../utils/address.js'
 import type { ChangeFeed } from './changeFeed.js'
+import type { ConfirmationExchange } from './confirmationExchange.js'
 import { bytesOf, encodeFeedRecords } from './feedRecords.js'
 
 /** Interval of position messages. Followers consider a VM down after three intervals without a message. */
@@ -33,6 +34,8 @@
   readonly address: string
   readonly feed: ChangeFeed
   readonly clock: Clock
+  /** Undefined if the age of the configuration is not limited. */
+  readonly confirmations?: ConfirmationExchange | undefined
 }
 
 /** Passes on what this VM knows of the store to its followers. */
@@ -120,10 +123,15 @@
   private onMessage (socket: WebSocket, data: RawData): void {
     const request = FEED_REQUEST.safeParse(parseJson(String(data))).data
     if (request === undefined) return socket.terminate()
+    if (request.kind === 'confirm') return this.confirm(socket, request)
     this.requests.set(socket, new Set(request.tables))
     this.answerRequests(socket)
   }
 
+  private confirm (socket: WebSocket, request: ConfirmationRequest): void {
+    send(socket, this.options.confirmations?.answer(request) ?? { kind: 'confirmed', id: request.id })
+  }
+
   /** Sends the requested copies that this VM has; the others follow once it knows the tables. */
   private answerRequests (socket: WebSocket): void {
     const tables = this.requests.get(socket) ?? new Set()
--- a/packages/daemon/src/core/feed/fleet.ts
+++ b/packages/daemon/src/core/feed/fleet.ts
@@ -4,6 +4,7 @@
 import type { ControlStore } from '../../types/controlStore.js'
 import type { Logger } from '../operators/logger.js'
 import { ChangeFeed } from './changeFeed.js'
+import type { ConfirmationExchange } from './confirmationExchange.js'
 import { FeedFollower } from './feedFollower.js'
 import { FeedServer } from './feedServer.js'
 import { Membership } from './membership.js'
@@ -21,6 +22,8 @@
   readonly store: ControlStore
   readonly clock: Clock
   readonly logger: Logger
+  /** Undefined if the age of the configuration is not limited. */
+  readonly confirmations?: ConfirmationExchange | undefined
   /** Called with the number of entry VMs, this one included, when the members may have changed. */
   readonly onSizeChange: (count: number) => void
 }
@@ -44,11 +47,11 @@
   readonly members: FleetMembers
   private readonly follower: FeedFollower
 
-  private constructor ({ vmId, members, failureDomain, address, peerAddress, store, clock, logger, onSizeChange }: FleetOptions) {
+  private constructor ({ vmId, members, failureDomain, address, peerAddress, store, clock, logger, confirmations, onSizeChange }: FleetOptions) {
     const feed = ChangeFeed.create(clock)
     this.members = members
     this.feed = feed
-    this.server = FeedServer.create({ address, feed, clock })
+    this.server = FeedServer.create({ address, feed, clock, confirmations })
     feed.setPublisher(this.server)
     this.membership = Membership.create({
       store,
@@ -60,7 +63,7 @@
         this.follower.reconcile()
       }
     })
-    this.follower = FeedFollower.create({ members, feed, clock, logger, onUnreachable: id => this.membership.remove(id) })
+    this.follower = FeedFollower.create({ vmId, confirmations, members, feed, clock, logger, onUnreachable: id => this.membership.remove(id) })
   }
 
   static create (options: FleetOptions): Fleet {
--- a/packages/daemon/src/core/gateway/gateway.ts
+++ b/packages/daemon/src/core/gateway/gateway.ts
@@ -19,6 +19,7 @@
 import { PeerServer } from '../peers/peerServer.js'
 import { PolicyPublisher } from '../control/policyPublisher.js'
 import { Authenticator } from '../customers/authenticator.js'
+import { KeyConfirmation } from '../customers/keyConfirmation.js'
 import { PolicyRestorer } from '../control/policyRestorer.js'
 import { PolicyState, POLICY_KEY } from '../control/policyState.js'
 import { SharedSuspects, SUSPECTS_GROUP } from '../control/sharedSuspects.js'
@@ -69,6 +70,8 @@
   private readonly random = SeededRandom.create(process.pid ^ Date.now())
   private readonly tickTimer = TickTimer.create(this.clock)
   private readonly eventLog: EventLog
+  /** Undefined if the age of keys is not limited. */
+  private readonly keyConfirmation: KeyConfirmation | undefined
   private readonly authenticator: Authenticator
   private readonly services: GatewayServices
   private readonly controlState: ControlState
@@ -97,7 +100,8 @@
     const { store } = dependencies
     this.eventLog = EventLog.create(settings.vmId, clock, dependencies.output)
     const { logger } = this.eventLog
-    this.authenticator = Authenticator.create(dependencies.dialect)
+    this.keyConfirmation = KeyConfirmation.create(settings.maxKeyAgeMs, logger)
+    this.authenticator = Authenticator.create(dependencies.dialect, this.keyConfirmation?.age)
     const metrics = this.createMetrics()
     const members = FleetMembers.create(settings.vmId)
     this.services = this.createServices(metrics, members)
@@ -110,11 +114,12 @@
       store,
       clock,
       logger,
+      confirmations: this.keyConfirmation?.exchange,
       onSizeChange: vms => this.onFleetSizeChange(vms)
     })
     const { feed, membership } = this.fleet
     this.controlState = ControlState.create({
-      store, clock, services: this.services, logger, feed, renewalMs: settings.renewalMs, onConfig: () => this.callerServer.applyLimits()
+      store, clock, services: this.services, logger, feed, keyConfirmation: this.keyConfirmation, renewalMs: settings.renewalMs, onConfig: () => this.callerServer.applyLimits()
     })
     this.policyRestorer = this.createPolicyRestorer()
     this.policyState = PolicyState.create({
@@ -196,6 +201,7 @@
     if (this.stopPlan !== undefined) return ['stopping']
     const reasons = this.supervisor.failingComponents().map(name => `${name} fails repeatedly`)
     reasons.push(...this.controlState.missing())
+    reasons.push(...this.keyConfirmation?.missing() ?? [])
     const isWaitingForPolicy = this.clock.now() < this.startedAt + POLICY_WAIT_MS
     if (isWaitingForPolicy && !this.fleetTable.isLoaded) reasons.push('the policy is not known')
     return reasons
@@ -214,6 +220,7 @@
       configVersion: this.services.config?.version,
       rejectedEntries: this.services.config?.rejectedEntries?.map(entry => ({ ...entry })),
       storeAgeMs: this.controlState.storeAgeMs,
+      keyAgeMs: this.keyConfirmation?.roundedAgeMs,
       callsInFlight: this.proxy.inFlight,
       components: this.supervisor.componentStates()
     }
@@ -317,6 +324,7 @@
       rejectedEntries: () => this.services.config?.rejectedEntries?.length ?? 0,
       unreadableConfigs: () => this.controlState.unreadableConfigs,
       policyRevision: () => this.policyState.revision,
+      keyAgeMs: () => this.keyConfirmation?.roundedAgeMs,
       keyRefusals: () => this.authenticator.refusals,
       isReady: () => this.unreadyReasons().length === 0,
       callsInFlight: () => this.proxy.inFlight,
--- a/packages/daemon/src/core/operators/metrics.ts
+++ b/packages/daemon/src/core/operators/metrics.ts
@@ -12,6 +12,8 @@
   rejectedEntries (): number
   /** Configurations since the start that could not be used at all. */
   unreadableConfigs (): number
+  /** Greatest possible age of the keys in force, in milliseconds; undefined if it is not limited or not known. */
+  keyAgeMs (): number | undefined
   /** Requests since the start that were refused for their key, by result code. */
   keyRefusals (): ReadonlyMap<string, number>
   isReady (): boolean
@@ -58,6 +60,7 @@
     this.addGauge('cowsliplead_fleet_vms', 'Known entry VMs, this one included', () => source.fleet().vms)
     this.addGauge('cowsliplead_followed_vms', 'Entry VMs that this one follows for changes of the control store', () => source.fleet().follows.length)
     this.addGauge('cowsliplead_followers', 'Entry VMs that follow this one for changes of the control store', () => source.fleet().followers)
+    this.addGauge('cowsliplead_key_age_seconds', 'Greatest possible age of the keys in force; NaN where it is not limited or not known', () => (source.keyAgeMs() ?? NaN) / 1000)
     this.addKeyRefusals(() => source.keyRefusals())
     this.addStoreReads(() => source.storeReads())
     this.addRestarts(() => source.components())
--- a/packages/daemon/src/types/daemonStatus.ts
+++ b/packages/daemon/src/types/daemonStatus.ts
@@ -15,6 +15,8 @@
   rejectedEntries: z.array(z.object({ kind: z.string(), name: z.string(), reason: z.string() })).optional(),
   /** Time since the store last answered a read of the routes, in milliseconds; absent before the first answer. */
   storeAgeMs: z.number().optional(),
+  /** Greatest possible age of the keys in force, in milliseconds; absent where it is not limited or nothing is known. */
+  keyAgeMs: z.number().optional(),
   callsInFlight: z.number(),
   components: z.array(z.object({ name: z.string(), running: z.boolean(), restarts: z.number(), recentFailures: z.number() }))
 })
--- a/packages/daemon/src/types/feedMessage.ts
+++ b/packages/daemon/src/types/feedMessage.ts
@@ -13,6 +13,11 @@
   ageMs: z.number().nonnegative()
 })
 
+const REQUEST_ID = z.number().int().nonnegative()
+
+/** The version of the configuration that the sender has in force, and for how long; absent before the first. */
+const VERSION = { version: z.number().int().nonnegative().optional(), inForceMs: z.number().nonnegative().optional() }
+
 /** Values are in base64; a key without a value is removed. */
 const RECORDS = z.array(z.object({ key: z.string(), value: z.string().optional() }))
 
@@ -32,18 +37,31 @@
   /** Copy of a table that was complete up to a position; answers a request. */
   z.object({ kind: z.literal('copy'), table: TABLE, position: POSITION, records: RECORDS }),
   /** The requested copy is not sent: the follower has to read the table from the store. */
-  z.object({ kind: z.literal('declined'), table: TABLE })
+  z.object({ kind: z.literal('declined'), table: TABLE }),
+  /** Answers `confirm`; without a position, the VM knows nothing. */
+  z.object({ kind: z.literal('confirmed'), id: REQUEST_ID, ...VERSION, position: POSITION.optional() })
 ])
 
 /** Message of a VM to its followers. */
 export type FeedMessage = z.infer<typeof FEED_MESSAGE>
 
-/** Message of a follower to a VM that it follows: the tables of which it needs a copy. */
-export const FEED_REQUEST = z.object({ kind: z.literal('copies'), tables: z.array(TABLE).max(TABLE.options.length) })
+/** Message of a follower to a VM that it follows. */
+export const FEED_REQUEST = z.discriminatedUnion('kind', [
+  /** The tables of which it needs a copy. */
+  z.object({ kind: z.literal('copies'), tables: z.array(TABLE).max(TABLE.options.length) }),
+  /** Asks for the age of the configuration. Sent only where the settings limit it: earlier daemons close the connection. */
+  z.object({ kind: z.literal('confirm'), id: REQUEST_ID, ...VERSION })
+])
 
 /** Message of a follower to a VM that it follows. */
 export type FeedRequest = z.infer<typeof FEED_REQUEST>
 
+/** Request for the age of the configuration. */
+export type ConfirmationRequest = Extract<FeedRequest, { kind: 'confirm' }>
+
+/** Answer to a `ConfirmationRequest`. */
+export type ConfirmationAnswer = Extract<FeedMessage, { kind: 'confirmed' }>
+
 /** How far a table was read, and how long ago. */
 export type FeedPosition = z.infer<typeof POSITION>
 
--- a/packages/daemon/src/types/responseSink.ts
+++ b/packages/daemon/src/types/responseSink.ts
@@ -18,7 +18,7 @@
   /** Overrides the status that belongs to the result code. */
   readonly status?: number
   /** Time after which the caller may retry. */
-  readonly retryAfterMs?: Milliseconds
+  readonly retryAfterMs?: Milliseconds | undefined
 }
 
 /** Receives the outcome of a call. */
