--- a/packages/daemon/src/core/control/tableReader.ts
+++ b/packages/daemon/src/core/control/tableReader.ts
@@ -1,8 +1,9 @@
 import type { Clock, Milliseconds } from '@cowsliplead/core/types/clock.js'
+import type { Instant } from '@cowsliplead/core/types/elapsedClock.js'
 import type { ControlStore, StoreEpoch, StoreFailure, TableName, TablePosition, TableRecord } from '../../types/controlStore.js'
 import type { Component } from '../../types/component.js'
 import type { FeedTable, OffsetChanges, TableCopy } from '../../types/feedTable.js'
-import { isAhead } from '../../utils/tablePosition.js'
+import { includes, isAhead } from '../../utils/tablePosition.js'
 import { sleep } from '../../utils/sleep.js'
 import type { ReadConfirmation } from '../customers/keyConfirmation.js'
 import type { ChangeFeed } from '../feed/changeFeed.js'
@@ -164,7 +165,7 @@
     if (snapshot.isErr) return snapshot.error
     this.onAnswer()
     this.replace(snapshot.value)
-    if (sentAt !== undefined) confirmation?.onRead(snapshot.value.position, sentAt)
+    this.confirm(snapshot.value.position, sentAt)
     feed.publish(table, snapshot.value.position)
     return undefined
   }
@@ -182,11 +183,17 @@
     if (epoch !== position.epoch) return this.onOtherEpoch()
     this.onAnswer()
     this.apply({ epoch, from: position.offset, records })
-    if (sentAt !== undefined) confirmation?.onRead({ epoch, offset: end }, sentAt)
+    this.confirm({ epoch, offset: end }, sentAt)
     feed.publish(table, { epoch, offset: end }, { epoch, from: position.offset, records })
     return undefined
   }
 
+  /** Reports a read, unless a copy of another epoch has come into force meanwhile in place of what was read. */
+  private confirm (position: TablePosition, sentAt: Instant | undefined): void {
+    if (sentAt === undefined || this.position === undefined || !includes(this.position, position)) return
+    this.options.confirmation?.onRead(position, sentAt)
+  }
+
   /** The offset that was read from means something else after a restore of the store: all records have to be read. */
   private onOtherEpoch (): StoreFailure {
     this.position = undefined
