Pass leaving upstreams and held evacuations on through the feed

Only the VM that got a response with Server-Leaving ended new work, and a VM that started from another one's copy after a restore of the store did not know the evacuations that the others held.

Notices of leaving upstreams are sent with the positions of the feed, and held orders with copies of a table, as optional fields that daemons of earlier versions ignore.

--- a/packages/core/src/core/membership/evacuations.ts
+++ b/packages/core/src/core/membership/evacuations.ts
@@ -54,6 +54,14 @@
     this.holdUntil = now + REWRITE_MS
   }
 
+  /** Takes over orders that another VM holds until `until`. */
+  hold (failureDomains: readonly string[], until: Milliseconds): DomainChange[] {
+    this.holdUntil = Math.max(this.holdUntil, until)
+    const unknown = failureDomains.filter(failureDomain => !this.isHeldByDomain.has(failureDomain))
+    for (const failureDomain of unknown) this.isHeldByDomain.set(failureDomain, true)
+    return unknown.map(failureDomain => ({ failureDomain, change: 'started' }))
+  }
+
   /** Handles a complete snapshot of the store, in which these domains have orders. */
   replaceAll (ordered: ReadonlySet<string>, now: Milliseconds): DomainChange[] {
     const missing = [...this.isHeldByDomain.keys()].filter(failureDomain => !ordered.has(failureDomain))
--- a/packages/daemon/src/core/control/controlState.ts
+++ b/packages/daemon/src/core/control/controlState.ts
@@ -130,6 +130,8 @@
         outageLog.onRestore(restore)
         this.evacuations.onStoreRestored()
       },
+      heldRecords: () => this.evacuations.heldRecords(),
+      onHeldRecords: held => this.evacuations.onHeldRecords(held),
       // Evacuations first: the configuration lets calls begin.
       onSnapshot: records => {
         this.evacuations.onSnapshot(records)
--- a/packages/daemon/src/core/control/evacuationState.ts
+++ b/packages/daemon/src/core/control/evacuationState.ts
@@ -1,7 +1,8 @@
 import { Evacuations, type DomainChange } from '@cowsliplead/core/core/membership/evacuations.js'
 import type { Clock, Milliseconds } from '@cowsliplead/core/types/clock.js'
 import type { Upstream } from '@cowsliplead/core/types/upstream.js'
-import type { ControlStore, TableRecord } from '../../types/controlStore.js'
+import type { ControlStore, Evacuation, TableRecord } from '../../types/controlStore.js'
+import type { HeldRecords } from '../../types/feedTable.js'
 import type { Logger } from '../operators/logger.js'
 
 const MIN_TIMER_MS: Milliseconds = 1
@@ -24,6 +25,8 @@
 /** The evacuated failure domains, kept up to date from the records of the table `configuration`. */
 export class EvacuationState {
   private readonly evacuations = Evacuations.create()
+  /** The orders in force as the store had them, by domain. */
+  private readonly records = new Map<string, TableRecord>()
   /** Evacuated domains that were found without upstreams, so that each is logged once. */
   private readonly unknownDomains = new Set<string>()
   private timer: NodeJS.Timeout | undefined
@@ -56,11 +59,23 @@
     this.evacuations.onStoreRestored(this.options.clock.now())
   }
 
+  /** The records of held orders, for VMs that start; undefined if there are none. */
+  heldRecords (): HeldRecords | undefined {
+    const records = this.evacuations.heldDomains().flatMap(failureDomain => this.records.get(failureDomain) ?? [])
+    return records.length === 0 ? undefined : { records, leftMs: Math.max(0, this.heldForMs()) }
+  }
+
+  /** Takes over the orders that another VM holds. */
+  onHeldRecords ({ records, leftMs }: HeldRecords): void {
+    const domains = records.map(record => this.decode(record)).filter(order => order?.isActive === true).map(order => (order as Evacuation).failureDomain)
+    this.apply(this.evacuations.hold(domains, this.options.clock.now() + leftMs))
+  }
+
   /** Handles all records of the table. */
   onSnapshot (records: readonly TableRecord[]): void {
     const ordered = new Set<string>()
     for (const record of records) {
-      const order = this.options.store.decodeEvacuation(record)
+      const order = this.decode(record)
       if (order?.isActive === true) ordered.add(order.failureDomain)
     }
     this.apply(this.evacuations.replaceAll(ordered, this.options.clock.now()))
@@ -70,7 +85,7 @@
   onChanges (records: readonly TableRecord[]): void {
     const changes: DomainChange[] = []
     for (const record of records) {
-      const order = this.options.store.decodeEvacuation(record)
+      const order = this.decode(record)
       if (order === undefined) continue
       const { failureDomain, isActive } = order
       changes.push({ failureDomain, change: this.evacuations.onOrder(failureDomain, isActive) })
@@ -105,11 +120,20 @@
     this.scheduleExpiry()
   }
 
+  /** Decodes a record and keeps it while its order is active. */
+  private decode (record: TableRecord): Evacuation | undefined {
+    const order = this.options.store.decodeEvacuation(record)
+    if (order?.isActive === true) this.records.set(order.failureDomain, record)
+    return order
+  }
+
   private logChange (failureDomain: string, change: DomainChange['change']): void {
     const upstreams = this.options.upstreams()?.filter(upstream => upstream.failureDomain === failureDomain).length
     const heldForMs = change === 'held' ? this.heldForMs() : undefined
     this.options.logger.info('evacuation changed', { domain: shorten(failureDomain), change, upstreams, heldForMs, evacuated: this.count })
-    if (change === 'ended') this.unknownDomains.delete(failureDomain)
+    if (change !== 'ended') return
+    this.unknownDomains.delete(failureDomain)
+    this.records.delete(failureDomain)
   }
 
   private heldForMs (): Milliseconds {
--- a/packages/daemon/src/core/control/tableReader.ts
+++ b/packages/daemon/src/core/control/tableReader.ts
@@ -1,7 +1,7 @@
 import type { Clock, Milliseconds } from '@cowsliplead/core/types/clock.js'
 import type { ControlStore, StoreEpoch, StoreFailure, TableName, TablePosition, TableRecord } from '../../types/controlStore.js'
 import type { Component } from '../../types/component.js'
-import type { FeedTable, OffsetChanges, TableCopy } from '../../types/feedTable.js'
+import type { FeedTable, HeldRecords, OffsetChanges, TableCopy } from '../../types/feedTable.js'
 import { sleep } from '../../utils/sleep.js'
 import type { ChangeFeed } from '../feed/changeFeed.js'
 import { readSnapshot, type TableSnapshot } from './tableSnapshot.js'
@@ -32,6 +32,10 @@
   onRecovery (): void
   /** The store was restored from a copy. */
   onRestore (restore: StoreRestore): void
+  /** Records that the consumer keeps in force although the store lacks them since a restore. */
+  heldRecords? (): HeldRecords | undefined
+  /** Another VM keeps these records in force. Called before the snapshot that this VM takes from it. */
+  onHeldRecords? (held: HeldRecords): void
   /** The first call of an outage failed. */
   onFailure (failure: StoreFailure): void
 }
@@ -97,6 +101,10 @@
     return [...this.newestRecords].map(([key, value]) => ({ key, value }))
   }
 
+  heldRecords (): HeldRecords | undefined {
+    return this.options.consumer.heldRecords?.()
+  }
+
   /** Time since the store last answered this VM or one that it follows; infinite before the first answer. */
   get ageMs (): Milliseconds {
     const { clock, feed, table } = this.options
@@ -191,6 +199,7 @@
     if (!this.needsCopy || copy.ageMs > this.options.maxFeedAgeMs) return
     this.reportErrors(() => {
       this.onAnswer()
+      if (copy.held !== undefined) this.options.consumer.onHeldRecords?.(copy.held)
       this.replace(copy)
     })
   }
--- a/packages/daemon/src/core/feed/changeFeed.ts
+++ b/packages/daemon/src/core/feed/changeFeed.ts
@@ -90,7 +90,7 @@
     const known = this.tables.get(table)
     const newest = this.newestPosition(table)
     if (known?.position === undefined || newest === undefined) return undefined
-    return { records: known.records(), position: known.position, ageMs: this.ageOfRead(newest) }
+    return { records: known.records(), position: known.position, ageMs: this.ageOfRead(newest), held: known.heldRecords?.() }
   }
 
   /** Called with changes that a followed VM has passed on. */
--- a/packages/daemon/src/core/feed/feedFollower.ts
+++ b/packages/daemon/src/core/feed/feedFollower.ts
@@ -8,6 +8,7 @@
 import type { ChangeFeed } from './changeFeed.js'
 import { FeedConnection, type FeedConnectionObserver, type DisconnectReason } from './feedConnection.js'
 import { decodeFeedRecords } from './feedRecords.js'
+import type { LeavingNotices } from './leavingNotices.js'
 
 const CHECK_INTERVAL_MS: Milliseconds = 500
 
@@ -34,6 +35,8 @@
   readonly feed: ChangeFeed
   readonly clock: Clock
   readonly logger: Logger
+  /** Receives the notices of leaving upstreams. */
+  readonly leaving?: LeavingNotices
   /** Called when a member has been unreachable for so long that it is considered to have left. */
   readonly onUnreachable: (vmId: string) => void
 }
@@ -102,7 +105,9 @@
   private deliver (vmId: string, message: FeedMessage): void {
     const { feed } = this.options
     switch (message.kind) {
-      case 'positions': return feed.receivePositions(vmId, message.tables)
+      case 'positions':
+        this.options.leaving?.receive(vmId, message.leaving ?? [])
+        return feed.receivePositions(vmId, message.tables)
       case 'changes': return feed.receiveChanges(message.table, { epoch: message.epoch, from: message.from, records: decodeFeedRecords(message.records) })
       case 'copy': return feed.receiveCopy(message.table, decodeCopy(message))
       case 'declined': return feed.receiveDecline(message.table)
@@ -156,6 +161,6 @@
   }
 }
 
-function decodeCopy ({ position: { epoch, end, ageMs }, records }: Extract<FeedMessage, { kind: 'copy' }>): TableCopy {
-  return { position: { epoch, offset: end }, ageMs, records: decodeFeedRecords(records) }
+function decodeCopy ({ position: { epoch, end, ageMs }, records, held }: Extract<FeedMessage, { kind: 'copy' }>): TableCopy {
+  return { position: { epoch, offset: end }, ageMs, records: decodeFeedRecords(records), held: held && { records: decodeFeedRecords(held.records), leftMs: held.leftMs } }
 }
--- a/packages/daemon/src/core/feed/feedServer.ts
+++ b/packages/daemon/src/core/feed/feedServer.ts
@@ -3,11 +3,12 @@
 import { parseJson } from '@cowsliplead/core/utils/parseJson.js'
 import type { Component } from '../../types/component.js'
 import type { TableName } from '../../types/controlStore.js'
-import { FEED_REQUEST, type FeedMessage } from '../../types/feedMessage.js'
-import type { FeedPublisher, OffsetChanges } from '../../types/feedTable.js'
+import { FEED_REQUEST, type FeedMessage, type FeedRecords } from '../../types/feedMessage.js'
+import type { FeedPublisher, HeldRecords, OffsetChanges } from '../../types/feedTable.js'
 import { splitAddress } from '../../utils/address.js'
 import type { ChangeFeed } from './changeFeed.js'
 import { bytesOf, encodeFeedRecords } from './feedRecords.js'
+import type { LeavingNotices } from './leavingNotices.js'
 
 /** Interval of position messages. Followers consider a VM down after three intervals without a message. */
 export const HEARTBEAT_MS: Milliseconds = 400
@@ -33,6 +34,8 @@
   readonly address: string
   readonly feed: ChangeFeed
   readonly clock: Clock
+  /** Upstreams that are leaving, for this VM's followers. */
+  readonly leaving?: LeavingNotices
 }
 
 /** Passes on what this VM knows of the store to its followers. */
@@ -141,7 +144,7 @@
     if (copy === undefined) return undefined
     if (this.backlogBytes() + bytesOf(copy.records) > MAX_SENT_BYTES) return { kind: 'declined', table }
     const { epoch, offset } = copy.position
-    return { kind: 'copy', table, position: { epoch, end: offset, ageMs: copy.ageMs }, records: encodeFeedRecords(copy.records) }
+    return { kind: 'copy', table, position: { epoch, end: offset, ageMs: copy.ageMs }, records: encodeFeedRecords(copy.records), held: encodeHeld(copy.held) }
   }
 
   private backlogBytes (): number {
@@ -149,7 +152,8 @@
   }
 
   private positions (): FeedMessage {
-    return { kind: 'positions', tables: this.options.feed.positions() }
+    const leaving = this.options.leaving?.recent() ?? []
+    return { kind: 'positions', tables: this.options.feed.positions(), leaving: leaving.length > 0 ? leaving : undefined }
   }
 
   private broadcast (message: FeedMessage): void {
@@ -165,3 +169,7 @@
 function send (socket: WebSocket, message: FeedMessage): void {
   socket.send(JSON.stringify(message))
 }
+
+function encodeHeld (held: HeldRecords | undefined): { readonly records: FeedRecords, readonly leftMs: Milliseconds } | undefined {
+  return held && { records: encodeFeedRecords(held.records), leftMs: held.leftMs }
+}
--- a/packages/daemon/src/core/feed/fleet.ts
+++ b/packages/daemon/src/core/feed/fleet.ts
@@ -6,7 +6,9 @@
 import { ChangeFeed } from './changeFeed.js'
 import { FeedFollower } from './feedFollower.js'
 import { FeedServer } from './feedServer.js'
+import { LeavingNotices } from './leavingNotices.js'
 import { Membership } from './membership.js'
+import type { LeavingNotice } from '../../types/feedMessage.js'
 
 /** Options of the fleet. */
 export interface FleetOptions {
@@ -23,6 +25,8 @@
   readonly logger: Logger
   /** Called with the number of entry VMs, this one included, when the members may have changed. */
   readonly onSizeChange: (count: number) => void
+  /** Called when another VM has passed on that an upstream is leaving. */
+  readonly onLeaving?: (notice: LeavingNotice) => void
 }
 
 /** This VM's view of the fleet, for the dump and metrics. */
@@ -40,15 +44,18 @@
 export class Fleet {
   readonly feed: ChangeFeed
   readonly server: FeedServer
+  readonly leaving: LeavingNotices
   readonly membership: Membership
   readonly members: FleetMembers
   private readonly follower: FeedFollower
 
-  private constructor ({ vmId, members, failureDomain, address, peerAddress, store, clock, logger, onSizeChange }: FleetOptions) {
+  private constructor ({ vmId, members, failureDomain, address, peerAddress, store, clock, logger, onSizeChange, onLeaving }: FleetOptions) {
     const feed = ChangeFeed.create(clock)
     this.members = members
     this.feed = feed
-    this.server = FeedServer.create({ address, feed, clock })
+    this.leaving = LeavingNotices.create({ clock, logger, onNotice: notice => onLeaving?.(notice) })
+    this.server = FeedServer.create({ address, feed, clock, leaving: this.leaving })
+    this.leaving.setPublisher(() => this.server.onPosition())
     feed.setPublisher(this.server)
     this.membership = Membership.create({
       store,
@@ -60,7 +67,7 @@
         this.follower.reconcile()
       }
     })
-    this.follower = FeedFollower.create({ members, feed, clock, logger, onUnreachable: id => this.membership.remove(id) })
+    this.follower = FeedFollower.create({ members, feed, clock, logger, leaving: this.leaving, onUnreachable: id => this.membership.remove(id) })
   }
 
   static create (options: FleetOptions): Fleet {
--- a/packages/daemon/src/core/gateway/gateway.ts
+++ b/packages/daemon/src/core/gateway/gateway.ts
@@ -107,7 +107,8 @@
       store,
       clock,
       logger,
-      onSizeChange: vms => this.onFleetSizeChange(vms)
+      onSizeChange: vms => this.onFleetSizeChange(vms),
+      onLeaving: notice => this.services.markLeaving(notice)
     })
     const { feed, membership } = this.fleet
     this.controlState = ControlState.create({
@@ -261,7 +262,8 @@
       policy: routingPolicyOf(settings, INITIAL_FLEET_SIZE),
       rateDivision: FleetRateDivision.create(members, settings.vmId),
       observerOf: service => CallLog.create(service, eventLog, latencyHistogram),
-      onSuspects: marks => this.sharedSuspects.publish(marks)
+      onSuspects: marks => this.sharedSuspects.publish(marks),
+      onLeaving: (upstreamId, incarnation) => this.fleet.leaving.add(upstreamId, incarnation)
     })
   }
 
--- a/packages/daemon/src/core/gateway/gatewayServices.ts
+++ b/packages/daemon/src/core/gateway/gatewayServices.ts
@@ -15,6 +15,7 @@
 import type { SuspectMark } from '@cowsliplead/core/types/suspectMark.js'
 import type { Upstream } from '@cowsliplead/core/types/upstream.js'
 import type { Dialect } from '../../types/dialect.js'
+import type { LeavingNotice } from '../../types/feedMessage.js'
 import type { RequestTarget } from '../callers/proxy.js'
 import type { ControlTarget } from '../control/controlState.js'
 import { ServiceForwarder, type CallObserver } from '../upstreams/serviceForwarder.js'
@@ -38,6 +39,8 @@
   readonly observerOf: (service: string) => CallObserver
   /** Called when requests are marked as suspect because they crashed an upstream. */
   readonly onSuspects: (marks: readonly SuspectMark[]) => void
+  /** Called when an upstream says that it is leaving. */
+  readonly onLeaving: (upstreamId: string, incarnation: number | undefined) => void
 }
 
 /** One forwarder for each service of the configuration in force, and the route table that selects among them. */
@@ -115,6 +118,11 @@
     for (const forwarder of this.forwardersByService.values()) forwarder.dispatcher.importSuspects(marks)
   }
 
+  /** Stops new work for an upstream that has told another VM that it is leaving. */
+  markLeaving ({ upstreamId, incarnation }: LeavingNotice): void {
+    for (const forwarder of [...this.forwardersByService.values(), ...this.retired]) forwarder.markLeaving(upstreamId, incarnation)
+  }
+
   /** Returns the forwarder and kind of a caller's request, or the result code with which it is refused. */
   route (request: IncomingMessage): RequestTarget | ResultCodeName {
     if (this.routeTable === undefined) return 'notReady'
@@ -172,6 +180,7 @@
       dialect,
       connections: UpstreamConnections.create(clock, connectionSettings),
       onSuspects: this.options.onSuspects,
+      onLeaving: this.options.onLeaving,
       observer: this.options.observerOf(name),
       createDispatcher: port => Dispatcher.create({
         service: name, vmId, clock, random, port, picker: ExpectedDelayPicker.create(policy), policy, failureDomain, rateDivision
--- a/packages/daemon/src/core/upstreams/serviceForwarder.ts
+++ b/packages/daemon/src/core/upstreams/serviceForwarder.ts
@@ -24,6 +24,8 @@
   readonly createDispatcher: (port: DispatchPort) => Dispatcher
   /** Called when requests are marked as suspect. */
   readonly onSuspects: (marks: readonly SuspectMark[]) => void
+  /** Called when an upstream says that it is leaving. */
+  readonly onLeaving?: (upstreamId: string, incarnation: number | undefined) => void
   /** Notified of the events of calls. */
   readonly observer?: CallObserver
 }
@@ -95,6 +97,7 @@
 
   onUpstreamSignal (signal: UpstreamSignal): void {
     this.options.observer?.onUpstreamSignal(signal)
+    if (signal.kind === 'leaving') this.options.onLeaving?.(signal.upstreamId, signal.incarnation)
   }
 
   /** Number of calls without a result. */
@@ -133,6 +136,12 @@
     this.rescheduleTick()
   }
 
+  /** Stops new work for an upstream that has told another VM that it is leaving. */
+  markLeaving (upstreamId: string, incarnation: number): void {
+    this.dispatcher.markLeaving(upstreamId, incarnation)
+    this.rescheduleTick()
+  }
+
   submit (call: ActiveCall): void {
     this.calls.set(call.call.id, call)
     this.dispatcher.submit(call.call)
--- a/packages/daemon/src/types/feedMessage.ts
+++ b/packages/daemon/src/types/feedMessage.ts
@@ -16,6 +16,18 @@
 /** Values are in base64; a key without a value is removed. */
 const RECORDS = z.array(z.object({ key: z.string(), value: z.string().optional() }))
 
+/** Most notices of leaving upstreams in one message. */
+export const MAX_LEAVING_NOTICES = 50
+
+const LEAVING_NOTICE = z.object({
+  upstreamId: z.string().max(200),
+  /** Start of the upstream's process in milliseconds since the epoch. */
+  incarnation: z.number().int().positive()
+})
+
+/** An upstream that has said that it is leaving. */
+export type LeavingNotice = z.infer<typeof LEAVING_NOTICE>
+
 /** Message of a VM to its followers. */
 export const FEED_MESSAGE = z.discriminatedUnion('kind', [
   /** Consecutive changes of one table. */
@@ -28,9 +40,21 @@
     records: RECORDS
   }),
   /** How far each table was read. Sent after each read and as a heartbeat. */
-  z.object({ kind: z.literal('positions'), tables: z.partialRecord(TABLE, POSITION) }),
+  z.object({
+    kind: z.literal('positions'),
+    tables: z.partialRecord(TABLE, POSITION),
+    /** Upstreams that have lately said that they are leaving; daemons of earlier versions ignore it. */
+    leaving: z.array(LEAVING_NOTICE).max(MAX_LEAVING_NOTICES).optional()
+  }),
   /** Copy of a table that was complete up to a position; answers a request. */
-  z.object({ kind: z.literal('copy'), table: TABLE, position: POSITION, records: RECORDS }),
+  z.object({
+    kind: z.literal('copy'),
+    table: TABLE,
+    position: POSITION,
+    records: RECORDS,
+    /** Records that are in force although the store lacks them; unknown to daemons of earlier versions, which ignore it. */
+    held: z.object({ records: RECORDS, leftMs: z.number().nonnegative() }).optional()
+  }),
   /** The requested copy is not sent: the follower has to read the table from the store. */
   z.object({ kind: z.literal('declined'), table: TABLE })
 ])
