Test evacuation and pauses under load

Measured: with half of the upstreams evacuated at 0.4 of all slots, at least 0.99 of the calls are answered; no upstream has more than its slots and one queued request.

--- a/packages/core/__tests__/evacuations.test.ts
+++ b/packages/core/__tests__/evacuations.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai'
 import { Evacuations } from '../src/core/membership/evacuations.js'
 import { createUpstreams, FEE, Harness, LOOKUP } from './dispatcherHarness.js'
+import { deliveredShare, PausingService, SLOTS } from './pausingService.js'
 
 const HOLD_MS = 15_000
 
@@ -135,4 +136,18 @@
     expect(warmth.get('u000')).to.be.below(0.2)
     expect(warmth.get('u001')).to.equal(1)
   })
+
+  // Guards against an overload of the other upstreams, and of those that return, when half of them are evacuated under load.
+  for (const { load, intervalMs, share } of [{ load: 0.4, intervalMs: 2, share: 0.99 }, { load: 0.8, intervalMs: 1, share: 0.55 }]) {
+    it(`leaves the others within their slots when half of the service goes and returns, at ${load} of all slots`, () => {
+      const service = new PausingService()
+      service.run(1000, intervalMs)
+      service.harness.dispatcher.setEvacuatedDomains(EVACUATED)
+      expect(deliveredShare(service.run(3000, intervalMs))).to.be.at.least(share)
+      service.harness.dispatcher.setEvacuatedDomains(new Set())
+      service.run(3000, intervalMs)
+      expect(deliveredShare(service.run(2000, intervalMs))).to.be.at.least(0.99)
+      expect(service.mostInFlight).to.be.at.most(SLOTS + 1)
+    })
+  }
 })
