--- a/packages/daemon/src/core/feed/feedFollower.ts
+++ b/packages/daemon/src/core/feed/feedFollower.ts
@@ -10,6 +10,7 @@
 import { Detours } from './detours.js'
 import { FeedConnection, type FeedConnectionObserver, type DisconnectReason } from './feedConnection.js'
 import { decodeFeedRecords } from './feedRecords.js'
+import type { LeavingNotices } from './leavingNotices.js'
 
 const CHECK_INTERVAL_MS: Milliseconds = 500
 
@@ -39,6 +40,8 @@
   readonly feed: ChangeFeed
   readonly clock: Clock
   readonly logger: Logger
+  /** Receives the notices of leaving upstreams. */
+  readonly leaving?: LeavingNotices
   /** Called when a member has been unreachable for so long that it is considered to have left. */
   readonly onUnreachable: (vmId: string) => void
 }
@@ -111,7 +114,9 @@
   private deliver (vmId: string, message: FeedMessage): void {
     const { feed } = this.options
     switch (message.kind) {
-      case 'positions': return feed.receivePositions(vmId, message.tables)
+      case 'positions':
+        this.options.leaving?.receive(vmId, message.leaving ?? [])
+        return feed.receivePositions(vmId, message.tables)
       case 'changes': return feed.receiveChanges(message.table, { epoch: message.epoch, from: message.from, records: decodeFeedRecords(message.records) })
       case 'copy': return this.receiveCopy(vmId, message)
       case 'confirmed': return this.options.confirmations?.receive(message)
@@ -190,6 +195,6 @@
   }
 }
 
-function decodeCopy ({ position: { epoch, end, ageMs }, records }: Extract<FeedMessage, { kind: 'copy' }>): TableCopy {
-  return { position: { epoch, offset: end }, ageMs, records: decodeFeedRecords(records) }
+function decodeCopy ({ position: { epoch, end, ageMs }, records, held }: Extract<FeedMessage, { kind: 'copy' }>): TableCopy {
+  return { position: { epoch, offset: end }, ageMs, records: decodeFeedRecords(records), held: held && { records: decodeFeedRecords(held.records), leftMs: held.leftMs } }
 }
--- a/packages/daemon/src/core/feed/fleet.ts
+++ b/packages/daemon/src/core/feed/fleet.ts
@@ -7,7 +7,9 @@
 import type { ConfirmationExchange } from './confirmationExchange.js'
 import { FeedFollower } from './feedFollower.js'
 import { FeedServer } from './feedServer.js'
+import { LeavingNotices } from './leavingNotices.js'
 import { Membership } from './membership.js'
+import type { LeavingNotice } from '../../types/feedMessage.js'
 
 /** Options of the fleet. */
 export interface FleetOptions {
@@ -26,6 +28,8 @@
   readonly confirmations?: ConfirmationExchange | undefined
   /** Called with the number of entry VMs, this one included, when the members may have changed. */
   readonly onSizeChange: (count: number) => void
+  /** Called when another VM has passed on that an upstream is leaving. */
+  readonly onLeaving?: (notice: LeavingNotice) => void
 }
 
 /** This VM's view of the fleet, for the dump and metrics. */
@@ -43,15 +47,18 @@
 export class Fleet {
   readonly feed: ChangeFeed
   readonly server: FeedServer
+  readonly leaving: LeavingNotices
   readonly membership: Membership
   readonly members: FleetMembers
   private readonly follower: FeedFollower
 
-  private constructor ({ vmId, members, failureDomain, address, peerAddress, store, clock, logger, confirmations, onSizeChange }: FleetOptions) {
+  private constructor ({ vmId, members, failureDomain, address, peerAddress, store, clock, logger, confirmations, onSizeChange, onLeaving }: FleetOptions) {
     const feed = ChangeFeed.create(clock)
     this.members = members
     this.feed = feed
-    this.server = FeedServer.create({ address, feed, clock, confirmations })
+    this.leaving = LeavingNotices.create({ clock, logger, onNotice: notice => onLeaving?.(notice) })
+    this.server = FeedServer.create({ address, feed, clock, confirmations, leaving: this.leaving })
+    this.leaving.setPublisher(() => this.server.onPosition())
     feed.setPublisher(this.server)
     this.membership = Membership.create({
       store,
@@ -63,7 +70,7 @@
         this.follower.reconcile()
       }
     })
-    this.follower = FeedFollower.create({ vmId, confirmations, members, feed, clock, logger, onUnreachable: id => this.membership.remove(id) })
+    this.follower = FeedFollower.create({ vmId, confirmations, members, feed, clock, logger, leaving: this.leaving, onUnreachable: id => this.membership.remove(id) })
   }
 
   static create (options: FleetOptions): Fleet {
--- a/packages/daemon/src/core/gateway/gateway.ts
+++ b/packages/daemon/src/core/gateway/gateway.ts
@@ -120,7 +120,8 @@
         this.quotas.onMembersChange()
         this.onFleetSizeChange(vms)
       },
-      confirmations: this.keyConfirmation?.exchange
+      confirmations: this.keyConfirmation?.exchange,
+      onLeaving: notice => this.services.markLeaving(notice)
     })
     const { feed, membership } = this.fleet
     this.controlState = ControlState.create({
@@ -279,7 +280,8 @@
       policy: routingPolicyOf(settings, INITIAL_FLEET_SIZE),
       rateDivision: FleetRateDivision.create(members, settings.vmId),
       observerOf: service => CallLog.create(service, eventLog, latencyHistogram),
-      onSuspects: marks => this.sharedSuspects.publish(marks)
+      onSuspects: marks => this.sharedSuspects.publish(marks),
+      onLeaving: (upstreamId, incarnation) => this.fleet.leaving.add(upstreamId, incarnation)
     })
   }
 
