Hand calls to other VMs while a VM reaches no upstream

A VM that was cut off from all upstreams kept trying them and refused or timed out its callers' requests.

While it is cut off it now sends arriving requests, and calls that have provably not run, to the peer address of a VM that reaches upstreams, which serves them like its own callers' requests. Each has a connection of its own; a request that was sent and got no refusal is not sent again. The wiring reports attempts, probes and responses to the reachability module. It takes effect where peerAddress is set.

--- a/packages/core/src/core/dispatch/dispatcher.ts
+++ b/packages/core/src/core/dispatch/dispatcher.ts
@@ -5,6 +5,7 @@
 import type { LoadReport, RateNotice, Upstream } from '../../types/upstream.js'
 import { AttemptEventHandler } from './attemptEventHandler.js'
 import { CallEngine } from './callEngine.js'
+import { isDraining } from '../health/upstreamTable.js'
 import { RoutingContext, type DispatcherOptions } from './routingContext.js'
 import type { SuspectMark } from '../../types/suspectMark.js'
 
@@ -51,6 +52,12 @@
     this.context.suspects.importMarks(marks, this.context.clock.now())
   }
 
+  /** Whether a probe may be sent to an upstream only to find out whether it can be reached. */
+  mayProbe (upstreamId: string): boolean {
+    const state = this.context.table.get(upstreamId)
+    return state !== undefined && !isDraining(state, this.context.clock.now()) && state.rateLimit.requestsPerSecond === undefined
+  }
+
   /** Registered upstreams that this VM uses. */
   get upstreamCount (): number {
     return this.context.table.inUse().length
--- a/packages/core/src/core/handover/handoverLimit.ts
+++ b/packages/core/src/core/handover/handoverLimit.ts
@@ -4,8 +4,8 @@
 /** Time over which a VM's own calls are averaged: longer than a cut usually lasts, so that it changes the limit little. */
 const AVERAGING_MS: Milliseconds = 10_000
 
-/** Lag of the event loop above which a VM takes no calls of others. */
-const MAX_LAG_MS: Milliseconds = 100
+/** Lag of the event loop above which a VM takes no calls of others: as long as a stall that is reported. */
+const MAX_LAG_MS: Milliseconds = 200
 
 const LAG_MEMORY_MS: Milliseconds = 500
 
--- a/packages/core/src/core/handover/receiverChoice.ts
+++ b/packages/core/src/core/handover/receiverChoice.ts
@@ -62,7 +62,10 @@
     const { vmId, members } = this.options
     this.expire()
     if (this.isAllCut) return undefined
-    const usable = members.list().filter(member => this.isUsable(member) && member.vmId !== vmId && !tried.has(member.vmId))
+    const untried = members.list().filter(member => member.peerAddress !== undefined && member.vmId !== vmId && !tried.has(member.vmId))
+    const welcome = untried.filter(member => !this.avoidances.has(member.vmId))
+    // A VM that had no room or did not answer is still better than one that is known to be cut off, such as this one.
+    const usable = welcome.length > 0 ? welcome : untried.filter(member => this.avoidances.get(member.vmId)?.reason !== 'cutOff')
     const cutDomains = this.cutDomains()
     const isPreferred = ({ failureDomain }: FleetMember): boolean => failureDomain !== this.options.failureDomain && !cutDomains.has(failureDomain)
     const preferred = usable.filter(isPreferred)
@@ -86,8 +89,10 @@
     if (known === undefined || known.until < until) this.avoidances.set(vmId, { reason, until })
   }
 
-  /** None of the VMs that were asked reaches upstreams. */
+  /** None of the VMs that were asked reaches upstreams. Without effect where others were not asked for want of room or contact. */
   onAllCut (): void {
+    this.expire()
+    if ([...this.avoidances.values()].some(({ reason }) => reason !== 'cutOff')) return
     this.allCutUntil = this.options.clock.now() + ALL_CUT_MS
   }
 
@@ -98,10 +103,6 @@
     return [...this.avoidances].map(([vmId, { reason, until }]) => ({ vmId, reason, leftMs: Math.round(until - now) }))
   }
 
-  private isUsable ({ vmId, peerAddress }: FleetMember): boolean {
-    return peerAddress !== undefined && !this.avoidances.has(vmId)
-  }
-
   private cutDomains (): ReadonlySet<string> {
     const counts = new Map<string, number>()
     for (const [vmId, { reason }] of this.avoidances) {
--- a/packages/daemon/src/core/callers/activeCall.ts
+++ b/packages/daemon/src/core/callers/activeCall.ts
@@ -19,6 +19,8 @@
 /** A call in progress on this VM. */
 export class ActiveCall {
   private attempts = 0
+  /** Attempts for which no connection could be established. */
+  unconnectedAttempts = 0
   /** The attempt whose response is being streamed to the caller. */
   streamingAttemptId: number | undefined
 
@@ -38,6 +40,11 @@
     return this.request.requestId
   }
 
+  /** Whether an attempt was started. */
+  get isStarted (): boolean {
+    return this.attempts > 0
+  }
+
   /** Builds the request of the next attempt. */
   nextAttempt (upstreamId: string, deadlineAt: Milliseconds, now: Milliseconds): AttemptRequest {
     const { method, path, body, requestId } = this.request
--- a/packages/daemon/src/core/callers/callerSink.ts
+++ b/packages/daemon/src/core/callers/callerSink.ts
@@ -1,7 +1,7 @@
 import type { ServerResponse } from 'node:http'
 import { RESULT_CODES, type ResultCodeName } from '@cowsliplead/core/types/resultCode.js'
 import type { Dialect } from '../../types/dialect.js'
-import { CODE_HEADER, responseHeaders } from '../../utils/headers.js'
+import { CODE_HEADER, PEER_RESULT_HEADER, PEER_UNFRAMED_HEADER, responseHeaders } from '../../utils/headers.js'
 import { errorStatus } from '../../utils/errorStatus.js'
 import { hasBody } from './requestBody.js'
 import type { ErrorResponseOptions, ResponseHead, ResponseSink, StreamDecision } from '../../types/responseSink.js'
@@ -15,6 +15,8 @@
   readonly dialect: Dialect
   /** Whether the connection is to be closed after this response. */
   readonly closesConnection: () => boolean
+  /** Whether the response goes to a VM that has handed the request over; it closes the connection itself. */
+  readonly isForPeer?: boolean
 }
 
 /** Writes the outcome of a call to the caller's connection. */
@@ -25,6 +27,11 @@
     return new CallerSink(response, options)
   }
 
+  /** Whether the connection is to be closed after this response. */
+  get closesConnection (): boolean {
+    return this.options.closesConnection()
+  }
+
   deliver (head: ResponseHead, body: readonly Buffer[]): void {
     const headers = this.headersFor(head)
     if (head.isFramed && !hasContentLength(headers) && this.mayHaveBody(head.status)) headers.push('content-length', String(totalLength(body)))
@@ -69,7 +76,7 @@
 
   sendError (name: ResultCodeName, detail: string, { status = errorStatus(name), retryAfterMs }: ErrorResponseOptions = {}): void {
     if (this.response.headersSent) return this.abortStream()
-    const { dialect, requestId, closesConnection } = this.options
+    const { dialect, requestId, closesConnection, isForPeer = false } = this.options
     const { number, outcome } = RESULT_CODES[name]
     const body = Buffer.from(JSON.stringify({ code: number, name, outcome, detail }))
     const headers = [
@@ -81,7 +88,8 @@
     if (retryAfterMs !== undefined) headers.push('retry-after', dialect.retryAfter(retryAfterMs))
     // If the response precedes the end of the request body, the rest of the body must not be read as the next request.
     const isUploading = hasBody(this.response.req) && !this.response.req.complete
-    if (closesConnection() || isUploading) headers.push('connection', 'close')
+    if (isForPeer) headers.push(PEER_RESULT_HEADER, name)
+    else if (closesConnection() || isUploading) headers.push('connection', 'close')
     this.response.writeHead(status, headers)
     this.response.end(body)
   }
@@ -91,9 +99,10 @@
   }
 
   private headersFor (head: ResponseHead): string[] {
-    const { dialect, requestId, closesConnection } = this.options
+    const { dialect, requestId, closesConnection, isForPeer = false } = this.options
     const headers = responseHeaders(head.rawHeaders, dialect.strippedResponseHeaders)
     headers.push(...dialect.addedResponseHeaders(requestId))
+    if (isForPeer) return head.isFramed ? headers : [...headers, PEER_UNFRAMED_HEADER, '1']
     if (closesConnection() || !head.isFramed) headers.push('connection', 'close')
     if (!head.isFramed) this.response.useChunkedEncodingByDefault = false
     return headers
--- a/packages/daemon/src/core/callers/proxy.ts
+++ b/packages/daemon/src/core/callers/proxy.ts
@@ -6,6 +6,7 @@
 import type { RequestKind } from '@cowsliplead/core/types/requestKind.js'
 import type { ResultCodeName } from '@cowsliplead/core/types/resultCode.js'
 import type { Dialect } from '../../types/dialect.js'
+import type { ResponseSink } from '../../types/responseSink.js'
 import { IDEMPOTENCY_KEY_HEADER, requestHeaders } from '../../utils/headers.js'
 import { CallerSink } from './callerSink.js'
 import { ActiveCall } from './activeCall.js'
@@ -26,6 +27,25 @@
   readonly kind: RequestKind
 }
 
+/** A caller's request that has arrived, here or at the VM that handed it over. */
+export interface ArrivedRequest {
+  readonly request: IncomingMessage
+  readonly response: ServerResponse
+  readonly sink: CallerSink
+  readonly requestId: string
+  readonly arrivedAt: Milliseconds
+  /** Whether another VM has handed it over. */
+  readonly isHandedOver: boolean
+}
+
+/** Hands requests to other VMs while this one reaches no upstream. */
+export interface CallHandover {
+  /** Takes a request over, with its body, before anything else is decided about it; calls `serve` if no VM takes it. */
+  takesArrival (arrived: ArrivedRequest, serve: (body: RequestBody) => void): boolean
+  /** A sink that hands the call over instead of refusing it where that is allowed. */
+  wrapSink (arrived: ArrivedRequest, body: RequestBody, deadlineAt: Milliseconds, call: () => ActiveCall): ResponseSink
+}
+
 /** Options of the proxy. */
 export interface ProxyOptions {
   readonly clock: Clock
@@ -42,16 +62,13 @@
   /** Called when a request that has a service is refused without being submitted to it. */
   readonly onRefused: (requestId: string, code: ResultCodeName) => void
   readonly onError: (error: Error) => void
+  /** Undefined where requests are not handed over. */
+  readonly handover?: CallHandover | undefined
 }
 
 /** A caller's request that has been routed. */
-interface RoutedRequest {
-  readonly request: IncomingMessage
-  readonly response: ServerResponse
-  readonly sink: CallerSink
+interface RoutedRequest extends ArrivedRequest {
   readonly target: RequestTarget
-  readonly requestId: string
-  readonly arrivedAt: Milliseconds
   readonly deadlineAt: Milliseconds
 }
 
@@ -74,10 +91,10 @@
     return this.pipelines.idleMs(socket)
   }
 
-  /** Handles one request of a caller. */
-  handle (request: IncomingMessage, response: ServerResponse): void {
-    const { clock, dialect, ids, route } = this.options
-    const arrivedAt = clock.now()
+  /** Handles one request of a caller; `elapsedMs` is the time since it arrived at the VM that has handed it over. */
+  handle (request: IncomingMessage, response: ServerResponse, elapsedMs?: Milliseconds): void {
+    const { clock, dialect, ids, handover } = this.options
+    const arrivedAt = clock.now() - (elapsedMs ?? 0)
     this.inFlight++
     this.pipelines.enter(request.socket)
     response.once('close', () => {
@@ -86,16 +103,29 @@
     })
     const callerId = dialect.callerRequestId(request.headers)
     const requestId = dialect.forwardsCallerIds && callerId !== undefined ? callerId : ids.next(callerId)
-    const sink = this.createSink(request, response, callerId ?? requestId)
+    const isHandedOver = elapsedMs !== undefined
+    const sink = this.createSink(request, response, callerId ?? requestId, isHandedOver)
+    const arrived = { request, response, sink, requestId, arrivedAt, isHandedOver }
+    if (!isHandedOver && handover?.takesArrival(arrived, body => this.serve(arrived, body)) === true) return
+    this.serve(arrived)
+  }
+
+  /** Serves a request through this VM's own upstreams; reads the body unless it is given. */
+  private serve (arrived: ArrivedRequest, readBefore?: RequestBody): void {
+    const { clock, dialect, route } = this.options
+    const { request, sink, requestId, arrivedAt } = arrived
     const target = route(request)
     if (typeof target === 'string') return sink.sendError(target, '')
     const timeLeftMs = dialect.timeLeftMs(request.headers) ?? Infinity
-    const deadlineAt = arrivedAt + Math.min(timeLeftMs, target.kind.deadlineMs)
+    // The time left is as of now where another VM has handed the request over, and as of the arrival otherwise.
+    const callerWaitsUntil = (arrived.isHandedOver ? clock.now() : arrivedAt) + timeLeftMs
+    const deadlineAt = Math.min(callerWaitsUntil, arrivedAt + target.kind.deadlineMs)
     if (this.options.stopPlan()?.accepts(arrivedAt, deadlineAt) === false) {
       this.options.onRefused(requestId, 'stopping')
       return sink.sendError('stopping', '', { retryAfterMs: STOPPING_RETRY_MS })
     }
-    const routed = { request, response, sink, target, requestId, arrivedAt, deadlineAt }
+    const routed = { ...arrived, target, deadlineAt }
+    if (readBefore !== undefined) return this.trySubmit(routed, readBefore)
     readBody(request, {
       timeoutMs: Math.min(this.options.bodyTimeoutMs, Math.max(deadlineAt - arrivedAt, 0)),
       maxBytes: this.options.maxBodyBytes?.() ?? Infinity,
@@ -105,11 +135,11 @@
     })
   }
 
-  private createSink (request: IncomingMessage, response: ServerResponse, requestId: string): CallerSink {
+  private createSink (request: IncomingMessage, response: ServerResponse, requestId: string, isForPeer: boolean): CallerSink {
     const { dialect, stopPlan } = this.options
     // Closing after an earlier response would drop the requests that the caller has pipelined behind it.
     const closesConnection = (): boolean => stopPlan() !== undefined && this.pipelines.isLast(request.socket)
-    return CallerSink.create(response, { requestId, dialect, closesConnection })
+    return CallerSink.create(response, { requestId, dialect, closesConnection, isForPeer })
   }
 
   /** An exception in one call must not end the process and with it all other calls. */
@@ -123,8 +153,8 @@
   }
 
   private submit (routed: RoutedRequest, body: RequestBody): void {
-    const { request, target: { forwarder }, requestId, sink } = routed
-    const { dialect } = this.options
+    const { request, target: { forwarder }, requestId, deadlineAt } = routed
+    const { dialect, handover } = this.options
     const callRequest = {
       method: request.method as string,
       path: request.url as string,
@@ -133,7 +163,8 @@
       requestId
     }
     const call = this.createCall(routed, body)
-    const activeCall = ActiveCall.create(call, callRequest, sink, dialect)
+    const sink = routed.isHandedOver || handover === undefined ? routed.sink : handover.wrapSink(routed, body, deadlineAt, () => activeCall)
+    const activeCall: ActiveCall = ActiveCall.create(call, callRequest, sink, dialect)
     this.cancelOnClose(routed, () => forwarder.cancel(call.id))
     forwarder.submit(activeCall)
   }
--- a/packages/daemon/src/core/gateway/gateway.ts
+++ b/packages/daemon/src/core/gateway/gateway.ts
@@ -16,6 +16,7 @@
 import { FleetTable } from '../control/fleetTable.js'
 import { Fleet } from '../feed/fleet.js'
 import { MEMBERS_GROUP } from '../feed/membership.js'
+import { Handover } from '../handover/handover.js'
 import { PeerServer } from '../peers/peerServer.js'
 import { PolicyPublisher } from '../control/policyPublisher.js'
 import { PolicyRestorer } from '../control/policyRestorer.js'
@@ -77,6 +78,8 @@
   private readonly fleet: Fleet
   /** Undefined if this VM takes no requests of the others. */
   private readonly peerServer: PeerServer | undefined
+  /** Undefined if this VM takes no requests of the others. */
+  private readonly handover: Handover | undefined
   private readonly proxy: Proxy
   private readonly callerServer: CallerServer
   private readonly readinessServer: ReadinessServer
@@ -97,6 +100,7 @@
     const { logger } = this.eventLog
     const metrics = this.createMetrics()
     const members = FleetMembers.create(settings.vmId)
+    this.handover = this.createHandover(members)
     this.services = this.createServices(metrics, members)
     this.fleet = Fleet.create({
       vmId: settings.vmId,
@@ -155,6 +159,7 @@
     this.progressTimer = setInterval(() => services.reportProgressOfWaiting(), PROGRESS_REPORT_INTERVAL_MS)
     for (const component of this.components()) await this.supervisor.add(component)
     this.fleet.start()
+    this.handover?.start()
     this.eventLoopMonitor.start()
     logger.info('started', { vm: settings.vmId, failureDomain: settings.failureDomain })
   }
@@ -178,7 +183,7 @@
     this.eventLog.logger.info('stopping', { inFlight: this.proxy.inFlight })
     await sleep(plan.listensUntil - this.clock.now())
     this.callerServer.stopListening()
-    while (!this.callerServer.isClosed && this.clock.now() < plan.exitsAt) {
+    while ((!this.callerServer.isClosed || this.proxy.inFlight > 0) && this.clock.now() < plan.exitsAt) {
       this.callerServer.closeIdleConnections()
       await sleep(DRAIN_POLL_MS)
     }
@@ -236,6 +241,7 @@
   private async releaseResources (): Promise<void> {
     clearInterval(this.progressTimer)
     this.eventLoopMonitor.stop()
+    this.handover?.stop()
     await this.supervisor.stop()
     this.controlState.close()
     this.policyRestorer.close()
@@ -260,7 +266,22 @@
       policy: routingPolicyOf(settings, INITIAL_FLEET_SIZE),
       rateDivision: FleetRateDivision.create(members, settings.vmId),
       observerOf: service => CallLog.create(service, eventLog, latencyHistogram),
-      onSuspects: marks => this.sharedSuspects.publish(marks)
+      onSuspects: marks => this.sharedSuspects.publish(marks),
+      ...(this.handover === undefined ? {} : { contacts: this.handover.reachability })
+    })
+  }
+
+  private createHandover (members: FleetMembers): Handover | undefined {
+    const { settings, clock, random, eventLog, dependencies: { dialect } } = this
+    const { vmId, failureDomain, bodyTimeoutMs } = settings
+    if (settings.peerAddress === undefined) return undefined
+    return Handover.create({
+      vmId, failureDomain, bodyTimeoutMs, members, clock, random, dialect, eventLog,
+      maxBodyBytes: () => this.services.config?.limits.maxBodyBytes ?? Infinity,
+      forwarders: () => this.services.forwarders(),
+      inFlight: () => this.proxy.inFlight,
+      stopPlan: () => this.stopPlan,
+      serve: (request, response, elapsedMs) => this.proxy.handle(request, response, elapsedMs)
     })
   }
 
@@ -279,6 +300,7 @@
       bodyTimeoutMs: this.settings.bodyTimeoutMs,
       maxBodyBytes: () => this.services.config?.limits.maxBodyBytes ?? Infinity,
       stopPlan: () => this.stopPlan,
+      handover: this.handover,
       onRefused: (request, outcome) => this.eventLog.logRequest('result', { request, outcome }),
       onError: error => this.eventLog.logger.error('internal error while handling a request', { error: error.stack })
     })
@@ -291,7 +313,7 @@
       ? undefined
       : PeerServer.create({
           address: peerAddress,
-          handlers: {},
+          handlers: { handover: (request, response) => this.handover?.handlePeer(request, response) },
           onError: error => logger.error('internal error while handling a request of another VM', { error: error.stack })
         })
   }
@@ -318,6 +340,7 @@
       logLinesLost: () => this.eventLog.omitted + this.eventLog.dropped,
       stallCount: () => this.stallCount,
       fleet: () => this.fleet.snapshot(),
+      handover: () => this.handover?.snapshot(),
       storeReads: () => this.tableReaders().map(({ table, reads }) => ({ table, reads })),
       components: () => this.supervisor.componentStates()
     })
@@ -334,6 +357,7 @@
       ...this.status(),
       control: this.controlState.describe(),
       fleet: this.fleet.snapshot(),
+      handover: this.handover?.snapshot(),
       policy: this.services.policyDocument,
       services: Object.fromEntries(this.services.forwarders().map(forwarder => [forwarder.service, forwarder.describe()]))
     }
--- a/packages/daemon/src/core/gateway/gatewayServices.ts
+++ b/packages/daemon/src/core/gateway/gatewayServices.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage } from 'node:http'
 import { capPolicies, resolvePolicy, resolvePolicyExceptions, type ServicePolicies } from '@cowsliplead/core/core/configuration/effectivePolicy.js'
 import { Dispatcher } from '@cowsliplead/core/core/dispatch/dispatcher.js'
+import type { UpstreamReachability } from '@cowsliplead/core/core/handover/upstreamReachability.js'
 import { ExpectedDelayPicker } from '@cowsliplead/core/core/routing/expectedDelayPicker.js'
 import { RouteTable } from '@cowsliplead/core/core/routing/routeTable.js'
 import { requestKindOf } from '@cowsliplead/core/core/routing/requestKinds.js'
@@ -17,7 +18,7 @@
 import type { Dialect } from '../../types/dialect.js'
 import type { RequestTarget } from '../callers/proxy.js'
 import type { ControlTarget } from '../control/controlState.js'
-import { ServiceForwarder, type CallObserver } from '../upstreams/serviceForwarder.js'
+import { ServiceForwarder, type CallObserver, type ContactObserver } from '../upstreams/serviceForwarder.js'
 import type { TickTimer } from '../supervision/tickTimer.js'
 import { UpstreamConnections, type ConnectionSettings } from '../upstreams/upstreamConnections.js'
 
@@ -36,6 +37,8 @@
   readonly rateDivision: RateDivision
   /** Returns the observer of the decisions about calls of a service. */
   readonly observerOf: (service: string) => CallObserver
+  /** Notified of what reaches upstreams, and of the registered ones. */
+  readonly contacts?: ContactObserver & Pick<UpstreamReachability, 'setUpstreams'>
   /** Called when requests are marked as suspect because they crashed an upstream. */
   readonly onSuspects: (marks: readonly SuspectMark[]) => void
 }
@@ -86,6 +89,7 @@
   /** Applies a new list of the registered upstreams of all services. */
   setUpstreams (upstreams: readonly Upstream[]): void {
     this.upstreams = upstreams
+    this.options.contacts?.setUpstreams(upstreams)
     for (const forwarder of this.forwardersByService.values()) this.updateUpstreams(forwarder)
     this.closeRetired()
   }
@@ -165,6 +169,7 @@
       dialect,
       connections: UpstreamConnections.create(clock, connectionSettings),
       onSuspects: this.options.onSuspects,
+      contacts: this.options.contacts,
       observer: this.options.observerOf(name),
       createDispatcher: port => Dispatcher.create({
         service: name, vmId, clock, random, port, picker: ExpectedDelayPicker.create(policy), policy, failureDomain, rateDivision
--- a/packages/daemon/src/core/operators/metrics.ts
+++ b/packages/daemon/src/core/operators/metrics.ts
@@ -1,4 +1,5 @@
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
+import type { HandoverSnapshot } from '../handover/handover.js'
 import type { FleetSnapshot } from '../feed/fleet.js'
 import type { ServiceForwarder } from '../upstreams/serviceForwarder.js'
 import type { ServiceCounters } from '../upstreams/serviceCounters.js'
@@ -20,6 +21,8 @@
   logLinesLost (): number
   callsInFlight (): number
   fleet (): FleetSnapshot
+  /** Undefined where calls are not handed over. */
+  handover (): HandoverSnapshot | undefined
   /** Reads of the store since the start, by table. */
   storeReads (): ReadonlyArray<{ readonly table: string, readonly reads: number }>
   components (): readonly ComponentState[]
@@ -56,6 +59,10 @@
     this.addGauge('cowsliplead_fleet_vms', 'Known entry VMs, this one included', () => source.fleet().vms)
     this.addGauge('cowsliplead_followed_vms', 'Entry VMs that this one follows for changes of the control store', () => source.fleet().follows.length)
     this.addGauge('cowsliplead_followers', 'Entry VMs that follow this one for changes of the control store', () => source.fleet().followers)
+    this.addGauge('cowsliplead_cut_off', '1 if this VM reaches no upstream, 0 otherwise', () => source.handover()?.reachability.state === 'cutOff' ? 1 : 0)
+    this.addGauge('cowsliplead_cuts', 'Times since the start at which this VM reached no upstream', () => source.handover()?.cuts ?? 0)
+    this.addOutcomes('cowsliplead_handed_over_calls_total', 'Calls handed to other VMs, by outcome', () => source.handover()?.sent.outcomes)
+    this.addOutcomes('cowsliplead_taken_over_calls_total', 'Calls of other VMs, by outcome', () => source.handover()?.taken.outcomes)
     this.addStoreReads(() => source.storeReads())
     this.addRestarts(() => source.components())
   }
@@ -121,6 +128,19 @@
     })
   }
 
+  private addOutcomes (name: string, help: string, read: () => Readonly<Record<string, number>> | undefined): void {
+    this.registry.registerMetric(new Counter({
+      name,
+      help,
+      labelNames: ['outcome'],
+      registers: [],
+      collect () {
+        this.reset()
+        for (const [outcome, count] of Object.entries(read() ?? {})) this.inc({ outcome }, count)
+      }
+    }))
+  }
+
   private addStoreReads (storeReads: MetricsSource['storeReads']): void {
     this.registry.registerMetric(new Counter({
       name: 'cowsliplead_store_reads_total',
--- a/packages/daemon/src/core/peers/peerServer.ts
+++ b/packages/daemon/src/core/peers/peerServer.ts
@@ -2,11 +2,9 @@
 import type { AddressInfo } from 'node:net'
 import type { Component } from '../../types/component.js'
 import { splitAddress } from '../../utils/address.js'
+import { PEER_PURPOSE_HEADER } from '../../utils/headers.js'
 import { closeImmediately, listenOn } from '../../utils/listen.js'
 
-/** Request header that states what another VM asks for. */
-export const PEER_PURPOSE_HEADER = 'x-cowsliplead-peer'
-
 /** What a VM asks of another one. */
 export type PeerPurpose = 'quota' | 'handover'
 
@@ -21,13 +19,16 @@
   readonly onError: (error: Error) => void
 }
 
+/** Callers' requests that are handed over may have heads of this size, as at the caller server. */
+const MAX_HEAD_BYTES = 260 * 1024
+
 /** Takes the requests of the other entry VMs. Callers do not know its address. */
 export class PeerServer implements Component {
   readonly name = 'peer server'
   private readonly server: Server
 
   private constructor (private readonly options: PeerServerOptions) {
-    this.server = createServer((request, response) => this.handle(request, response))
+    this.server = createServer({ maxHeaderSize: MAX_HEAD_BYTES, requestTimeout: 0 }, (request, response) => this.handle(request, response))
   }
 
   static create (options: PeerServerOptions): PeerServer {
--- a/packages/daemon/src/core/productDialect.ts
+++ b/packages/daemon/src/core/productDialect.ts
@@ -42,13 +42,16 @@
     return [CUSTOMER_HEADER, name]
   }
 
+  timeLeftHeaders (timeLeftMs: Milliseconds): readonly string[] {
+    return [DEADLINE_HEADER, String(Math.floor(this.wallClock() + timeLeftMs)), TIMEOUT_HEADER, String(Math.floor(timeLeftMs))]
+  }
+
   attemptHeaders ({ requestId, attemptNumber, deadlineAt, now }: AttemptMetadata): AttemptHeaders {
     const echoedId = `${requestId}.${attemptNumber}`
     const timeLeftMs = Math.max(deadlineAt - now, 0)
     const headers = [
       REQUEST_ID_HEADER, echoedId,
-      DEADLINE_HEADER, String(Math.floor(this.wallClock() + timeLeftMs)),
-      TIMEOUT_HEADER, String(Math.floor(timeLeftMs))
+      ...this.timeLeftHeaders(timeLeftMs)
     ]
     return { headers, echoedId }
   }
--- a/packages/daemon/src/core/upstreams/activeAttempt.ts
+++ b/packages/daemon/src/core/upstreams/activeAttempt.ts
@@ -28,6 +28,8 @@
 export interface AttemptObserver {
   /** The head of the response says how many requests a second the upstream takes. */
   onRateNotice (attempt: ActiveAttempt, notice: RateNotice): void
+  /** The head of a response has arrived, whatever it says. */
+  onResponse (attempt: ActiveAttempt, isNewConnection: boolean): void
   /** Bytes were sent or received, which restarts stall detection. */
   onProgress (attempt: ActiveAttempt): void
   /** The response is too long to be buffered; `chunks` are those received so far. */
@@ -63,6 +65,8 @@
   readonly attemptId: number
   readonly callId: number
   readonly connection: Connection
+  /** Whether bytes of the request were sent. */
+  wasSent = false
   /** True if the attempt was cancelled before its connection was established; the connection is then not reused. */
   neverSent = false
   /** The complete response, unless it was streamed. */
@@ -109,12 +113,14 @@
 
   onSent (): void {
     this.stage = 'sent'
+    this.wasSent = true
   }
 
   onHead (head: ParsedHead): 'accept' | 'skip' {
     const { dialect, request } = this.options
     const now = this.options.clock.now()
     const metadata = dialect.readResponseMetadata(head.status, head.rawHeaders, now)
+    this.options.observer.onResponse(this, this.connection.lastResponseAt === 0)
     this.connection.lastResponseAt = now
     this.connection.idleTimeoutMs = metadata.idleTimeoutMs
     if (!answersAttempt(metadata, request.echoedId)) return this.onMismatchedHead()
--- a/packages/daemon/src/core/upstreams/serviceForwarder.ts
+++ b/packages/daemon/src/core/upstreams/serviceForwarder.ts
@@ -3,6 +3,7 @@
 import type { SuspectMark } from '@cowsliplead/core/types/suspectMark.js'
 import type { PolicyExceptions, RoutingPolicy } from '@cowsliplead/core/types/routingPolicy.js'
 import type { RateNotice, Upstream } from '@cowsliplead/core/types/upstream.js'
+import type { ContactFailure, UpstreamReachability } from '@cowsliplead/core/core/handover/upstreamReachability.js'
 import type { Dispatcher } from '@cowsliplead/core/core/dispatch/dispatcher.js'
 import type { ResponseHead, StreamDecision } from '../../types/responseSink.js'
 import type { Dialect } from '../../types/dialect.js'
@@ -14,6 +15,9 @@
 import { ServiceCounters } from './serviceCounters.js'
 import type { TickTimer } from '../supervision/tickTimer.js'
 
+/** Notified of the contact with the upstreams of all services; see `UpstreamReachability`. */
+export type ContactObserver = Pick<UpstreamReachability, 'onStart' | 'onResponse' | 'onEnd'>
+
 /** Options of a service forwarder. */
 export interface ServiceForwarderOptions {
   readonly service: string
@@ -26,6 +30,8 @@
   readonly onSuspects: (marks: readonly SuspectMark[]) => void
   /** Notified of the events of calls. */
   readonly observer?: CallObserver
+  /** Notified of what reaches upstreams. */
+  readonly contacts?: ContactObserver | undefined
 }
 
 /** Receives the events of a service's calls. */
@@ -145,6 +151,17 @@
     }
   }
 
+  /** Removes the calls of which no attempt was started, without an answer to their callers, and returns them. */
+  withdrawUnstarted (): ActiveCall[] {
+    const unstarted = [...this.calls.values()].filter(call => !call.isStarted)
+    for (const { call: { id } } of unstarted) {
+      this.calls.delete(id)
+      this.dispatcher.cancelCall(id)
+    }
+    this.rescheduleTick()
+    return unstarted
+  }
+
   /** Closes the connections; called once no calls are in flight. */
   close (): void {
     this.tickTimer.remove(this.dispatcher)
@@ -167,6 +184,7 @@
     })
     this.attempts.set(attempt.id, { upstreamId: attempt.upstreamId, attempt: activeAttempt, connections, startedAt: now })
     this.options.observer?.onAttempt(call, attempt)
+    this.options.contacts?.onStart(activeAttempt, attempt.upstreamId, 'request')
     if (activeAttempt.isUploading) this.uploading.add(activeAttempt)
     activeAttempt.start()
   }
@@ -190,6 +208,10 @@
     call.finish(result, this.endingAttempt?.bufferedResponse)
   }
 
+  onResponse (attempt: ActiveAttempt, isNewConnection: boolean): void {
+    this.options.contacts?.onResponse(attempt, isNewConnection)
+  }
+
   onRateNotice ({ attemptId }: ActiveAttempt, notice: RateNotice): void {
     const upstreamId = this.attempts.get(attemptId)?.upstreamId
     if (upstreamId !== undefined) this.dispatcher.onRateNotice(upstreamId, notice)
@@ -211,6 +233,7 @@
   }
 
   onChunk (attempt: ActiveAttempt, chunk: Buffer): boolean {
+    this.options.contacts?.onResponse(attempt, false)
     const flowing = this.calls.get(attempt.callId)?.sink.write(chunk) ?? true
     if (!flowing) this.paused.add(attempt)
     return flowing
@@ -222,12 +245,16 @@
   }
 
   sendProbe (upstreamId: string): void {
-    const { clock, options: { dialect }, healthPath } = this
+    const { clock, options: { dialect, contacts }, healthPath } = this
     const connections = this.connections.poolFor(upstreamId)
     const connection = connections?.acquire(false)
     if (connections === undefined || connection === undefined) return
+    const isNewConnection = connection.lastResponseAt === 0
+    contacts?.onStart(connection, upstreamId, 'probe')
     UpstreamProbe.send({ connection, path: healthPath, upstreamId, dialect, clock }, result => {
       connections.release(connection)
+      if (result.kind === 'report' || result.hasResponded) contacts?.onResponse(connection, isNewConnection)
+      else contacts?.onEnd(connection, isNewConnection ? 'unconnected' : 'silent')
       if (result.kind === 'report') this.dispatcher.onProbeReport(upstreamId, result.report, result.rateNotice)
       else this.dispatcher.onProbeFailed(upstreamId)
       this.rescheduleTick()
@@ -252,6 +279,8 @@
     else tracked?.connections.release(attempt.connection)
     this.counters.countEnd(end.kind)
     const call = this.calls.get(attempt.callId)
+    this.options.contacts?.onEnd(attempt, contactFailureOf(attempt, end))
+    if (call !== undefined && end.kind === 'notRun' && !attempt.wasSent) call.unconnectedAttempts += 1
     if (call !== undefined && tracked !== undefined) {
       this.options.observer?.onAttemptEnd(call, attempt, end, this.clock.now() - tracked.startedAt)
     }
@@ -290,3 +319,9 @@
     this.tickTimer.reschedule(this.dispatcher)
   }
 }
+
+/** Why an attempt got no response; undefined if this VM has given it up. Without effect on one that got a response. */
+function contactFailureOf (attempt: ActiveAttempt, { kind }: AttemptEnd): ContactFailure | undefined {
+  if (kind === 'cancelled' || attempt.neverSent) return undefined
+  return attempt.wasSent ? 'lost' : 'unconnected'
+}
--- a/packages/daemon/src/core/upstreams/upstreamProbe.ts
+++ b/packages/daemon/src/core/upstreams/upstreamProbe.ts
@@ -8,10 +8,13 @@
 /** Time after which a probe has failed and its connection is closed, because it may be broken. */
 const PROBE_TIMEOUT_MS: Milliseconds = 250
 
-/** Result of a probe. `failed`: the upstream was not reached or sent no load report, or a different one answered. */
+/**
+ * Result of a probe. `failed`: the upstream was not reached or sent no load report, or a different one answered; `hasResponded`
+ * tells whether anything did.
+ */
 export type ProbeResult =
   | { readonly kind: 'report', readonly report: LoadReport, readonly rateNotice: RateNotice | undefined }
-  | { readonly kind: 'failed' }
+  | { readonly kind: 'failed', readonly hasResponded: boolean }
 
 /** Options of a probe. */
 export interface UpstreamProbeOptions {
@@ -25,6 +28,7 @@
 /** Requests the load report of one upstream. The health that it reports is ignored, as it may be wrong either way. */
 export class UpstreamProbe implements ExchangeHandler {
   private report: LoadReport | undefined
+  private hasResponded = false
   private rateNotice: RateNotice | undefined
   private readonly timer: NodeJS.Timeout
 
@@ -45,6 +49,7 @@
 
   onHead ({ status, rawHeaders }: ParsedHead): 'accept' | 'skip' {
     const { connection, dialect, clock } = this.options
+    this.hasResponded = true
     const metadata = dialect.readResponseMetadata(status, rawHeaders, clock.now())
     // Only responses to callers' requests echo an id, so this is a late extra response to an earlier request.
     if (metadata.echoedId !== undefined) return 'skip'
@@ -76,6 +81,6 @@
   private end (): void {
     clearTimeout(this.timer)
     const { report, rateNotice } = this
-    this.done(report === undefined ? { kind: 'failed' } : { kind: 'report', report, rateNotice })
+    this.done(report === undefined ? { kind: 'failed', hasResponded: this.hasResponded } : { kind: 'report', report, rateNotice })
   }
 }
--- a/packages/daemon/src/types/dialect.ts
+++ b/packages/daemon/src/types/dialect.ts
@@ -54,6 +54,8 @@
   customerHeaders (name: string): readonly string[]
   /** Lower-case names of request headers that are not forwarded where the configuration has customers. */
   readonly credentialHeaders: ReadonlySet<string>
+  /** Headers that tell another VM how long the caller still waits. */
+  timeLeftHeaders (timeLeftMs: Milliseconds): readonly string[]
   attemptHeaders (metadata: AttemptMetadata): AttemptHeaders
   readResponseMetadata (status: number, rawHeaders: readonly string[], now: Milliseconds): ResponseMetadata
   /** Headers added to each response to a caller, both to an upstream's and to those that the daemon generates. */
--- a/packages/daemon/src/utils/headers.ts
+++ b/packages/daemon/src/utils/headers.ts
@@ -20,10 +20,25 @@
 /** Name of the customer, set towards upstreams. */
 export const CUSTOMER_HEADER = 'x-customer'
 
-/** Headers that concern one connection only (RFC 9110 section 7.6.1), and `expect`, which is answered at the first hop. */
+/** Request header that states what another VM asks for. */
+export const PEER_PURPOSE_HEADER = 'x-cowsliplead-peer'
+/** Id of the VM that hands a request over. */
+export const PEER_SENDER_HEADER = 'x-cowsliplead-peer-vm'
+/** Time since the request arrived at the VM that hands it over, in milliseconds. */
+export const PEER_ELAPSED_HEADER = 'x-cowsliplead-peer-elapsed-ms'
+/** On responses that the receiving VM generates itself: the reason. Upstreams cannot set it. */
+export const PEER_RESULT_HEADER = 'x-cowsliplead-peer-result'
+/** Present if only the close of the upstream's connection has ended the response. */
+export const PEER_UNFRAMED_HEADER = 'x-cowsliplead-peer-unframed'
+
+/**
+ * Headers that concern one connection only (RFC 9110 section 7.6.1) or one hop between VMs, and `expect`, which is answered at
+ * the first hop.
+ */
 const HOP_BY_HOP = new Set([
   'connection', 'keep-alive', 'proxy-connection', 'proxy-authenticate', 'proxy-authorization',
-  'te', 'trailer', 'transfer-encoding', 'upgrade', 'expect'
+  'te', 'trailer', 'transfer-encoding', 'upgrade', 'expect',
+  PEER_PURPOSE_HEADER, PEER_SENDER_HEADER, PEER_ELAPSED_HEADER, PEER_RESULT_HEADER, PEER_UNFRAMED_HEADER
 ])
 
 /** Lower-case names listed in the `connection` header, which are hop-by-hop too. */
