--- a/packages/core/src/core/dispatch/dispatcher.ts
+++ b/packages/core/src/core/dispatch/dispatcher.ts
@@ -63,6 +63,12 @@
     this.context.suspects.importMarks(marks, this.context.clock.now())
   }
 
+  /** Whether a probe may be sent to an upstream only to find out whether it can be reached. */
+  mayProbe (upstreamId: string): boolean {
+    const state = this.context.table.get(upstreamId)
+    return state !== undefined && this.context.table.takesProbes(state, this.context.clock.now())
+  }
+
   /** Registered upstreams that this VM uses. */
   get upstreamCount (): number {
     return this.context.table.inUse().length
--- a/packages/core/src/core/health/upstreamTable.ts
+++ b/packages/core/src/core/health/upstreamTable.ts
@@ -157,6 +157,11 @@
     return this.used.reduce((count, { rateLimit }) => rateLimit.allows(now) ? count : count + 1, 0)
   }
 
+  /** Whether an upstream may be probed that gets no calls at present: none of the reasons forbids probes too. */
+  takesProbes (state: UpstreamState, now: Milliseconds): boolean {
+    return !this.isEvacuated(state) && !isDraining(state, now) && !state.pause.isActive(now) && !state.rateLimit.isLimited(now)
+  }
+
   /** Number of upstreams in use that have asked for a pause which has not ended. */
   countPaused (now: Milliseconds): number {
     return this.used.reduce((count, { pause }) => pause.isActive(now) ? count + 1 : count, 0)
--- a/packages/daemon/src/core/gateway/gateway.ts
+++ b/packages/daemon/src/core/gateway/gateway.ts
@@ -16,6 +16,7 @@
 import { FleetTable } from '../control/fleetTable.js'
 import { Fleet } from '../feed/fleet.js'
 import { MEMBERS_GROUP } from '../feed/membership.js'
+import { Handover } from '../handover/handover.js'
 import { PeerServer } from '../peers/peerServer.js'
 import { PolicyPublisher } from '../control/policyPublisher.js'
 import { Authenticator } from '../customers/authenticator.js'
@@ -84,6 +85,8 @@
   /** Undefined if this VM takes no requests of the others. */
   private readonly peerServer: PeerServer | undefined
   private readonly quotas: Quotas
+  /** Undefined if this VM takes no requests of the others. */
+  private readonly handover: Handover | undefined
   private readonly proxy: Proxy
   private readonly callerServer: CallerServer
   private readonly readinessServer: ReadinessServer
@@ -106,6 +109,7 @@
     this.authenticator = Authenticator.create(dependencies.dialect, this.keyConfirmation?.age)
     const metrics = this.createMetrics()
     const members = FleetMembers.create(settings.vmId)
+    this.handover = this.createHandover(members)
     this.services = this.createServices(metrics, members)
     this.fleet = Fleet.create({
       vmId: settings.vmId,
@@ -170,6 +174,7 @@
     this.progressTimer = setInterval(() => services.reportProgressOfWaiting(), PROGRESS_REPORT_INTERVAL_MS)
     for (const component of this.components()) await this.supervisor.add(component)
     this.fleet.start()
+    this.handover?.start()
     this.eventLoopMonitor.start()
     logger.info('started', { vm: settings.vmId, failureDomain: settings.failureDomain })
   }
@@ -193,7 +198,7 @@
     this.eventLog.logger.info('stopping', { inFlight: this.proxy.inFlight })
     await sleep(plan.listensUntil - this.clock.now())
     this.callerServer.stopListening()
-    while (!this.callerServer.isClosed && this.clock.now() < plan.exitsAt) {
+    while ((!this.callerServer.isClosed || this.proxy.inFlight > 0) && this.clock.now() < plan.exitsAt) {
       this.callerServer.closeIdleConnections()
       await sleep(DRAIN_POLL_MS)
     }
@@ -254,6 +259,7 @@
   private async releaseResources (): Promise<void> {
     clearInterval(this.progressTimer)
     this.eventLoopMonitor.stop()
+    this.handover?.stop()
     await this.supervisor.stop()
     this.controlState.close()
     this.policyRestorer.close()
@@ -281,7 +287,22 @@
       rateDivision: FleetRateDivision.create(members, settings.vmId),
       observerOf: service => CallLog.create(service, eventLog, latencyHistogram),
       onSuspects: marks => this.sharedSuspects.publish(marks),
-      onLeaving: (upstreamId, incarnation) => this.fleet.leaving.add(upstreamId, incarnation)
+      onLeaving: (upstreamId, incarnation) => this.fleet.leaving.add(upstreamId, incarnation),
+      ...(this.handover === undefined ? {} : { contacts: this.handover.reachability })
+    })
+  }
+
+  private createHandover (members: FleetMembers): Handover | undefined {
+    const { settings, clock, random, eventLog, dependencies: { dialect } } = this
+    const { vmId, failureDomain, bodyTimeoutMs } = settings
+    if (settings.peerAddress === undefined) return undefined
+    return Handover.create({
+      vmId, failureDomain, bodyTimeoutMs, members, clock, random, dialect, eventLog,
+      maxBodyBytes: () => this.services.config?.limits.maxBodyBytes ?? Infinity,
+      forwarders: () => this.services.forwarders(),
+      inFlight: () => this.proxy.inFlight,
+      stopPlan: () => this.stopPlan,
+      serve: (request, response, elapsedMs) => this.proxy.handle(request, response, elapsedMs)
     })
   }
 
@@ -301,6 +322,7 @@
       bodyTimeoutMs: this.settings.bodyTimeoutMs,
       maxBodyBytes: () => this.services.config?.limits.maxBodyBytes ?? Infinity,
       stopPlan: () => this.stopPlan,
+      handover: this.handover,
       onRefused: (request, outcome) => this.eventLog.logRequest('result', { request, outcome }),
       onError: error => this.eventLog.logger.error('internal error while handling a request', { error: error.stack })
     })
@@ -313,7 +335,10 @@
       ? undefined
       : PeerServer.create({
           address: peerAddress,
-          handlers: { quota: this.quotas.handler },
+          handlers: {
+            quota: this.quotas.handler,
+            handover: (request, response) => this.handover?.handlePeer(request, response)
+          },
           onError: error => logger.error('internal error while handling a request of another VM', { error: error.stack })
         })
   }
@@ -344,6 +369,7 @@
       stallCount: () => this.stallCount,
       fleet: () => this.fleet.snapshot(),
       quotas: () => this.quotas.counters,
+      handover: () => this.handover?.snapshot(),
       storeReads: () => this.tableReaders().map(({ table, reads }) => ({ table, reads })),
       components: () => this.supervisor.componentStates()
     })
@@ -361,6 +387,7 @@
       control: this.controlState.describe(),
       fleet: this.fleet.snapshot(),
       quotas: this.quotas.describe(),
+      handover: this.handover?.snapshot(),
       policy: this.services.policyDocument,
       services: Object.fromEntries(this.services.forwarders().map(forwarder => [forwarder.service, forwarder.describe()]))
     }
--- a/packages/daemon/src/core/operators/metrics.ts
+++ b/packages/daemon/src/core/operators/metrics.ts
@@ -1,5 +1,6 @@
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
 import type { QuotaCounters } from '@cowsliplead/core/core/quotas/leaseAccount.js'
+import type { HandoverSnapshot } from '../handover/handover.js'
 import type { FleetSnapshot } from '../feed/fleet.js'
 import type { ServiceForwarder } from '../upstreams/serviceForwarder.js'
 import type { ServiceCounters } from '../upstreams/serviceCounters.js'
@@ -28,6 +29,8 @@
   callsInFlight (): number
   fleet (): FleetSnapshot
   quotas (): QuotaCounters
+  /** Undefined where calls are not handed over. */
+  handover (): HandoverSnapshot | undefined
   /** Reads of the store since the start, by table. */
   storeReads (): ReadonlyArray<{ readonly table: string, readonly reads: number }>
   components (): readonly ComponentState[]
@@ -73,7 +76,11 @@
     this.addKeyRefusals(() => source.keyRefusals())
     this.addGauge('cowsliplead_over_quota_requests', 'Requests since the start that were refused because of a quota', () => source.quotas().refused)
     this.addGauge('cowsliplead_quota_allowance_requests', 'Requests since the start that ran by the allowance of a VM without contact to the holders of a quota', () => source.quotas().allowanceUsed)
-    this.addLeases(() => source.quotas())
+    this.addOutcomes('cowsliplead_quota_leases_total', 'Requests for tokens of customers, by outcome', () => source.quotas().leases)
+    this.addGauge('cowsliplead_cut_off', '1 if this VM reaches no upstream, 0 otherwise', () => source.handover()?.reachability.state === 'cutOff' ? 1 : 0)
+    this.addGauge('cowsliplead_cuts', 'Times since the start at which this VM reached no upstream', () => source.handover()?.cuts ?? 0)
+    this.addOutcomes('cowsliplead_handed_over_calls_total', 'Calls handed to other VMs, by outcome', () => source.handover()?.sent.outcomes)
+    this.addOutcomes('cowsliplead_taken_over_calls_total', 'Calls of other VMs, by outcome', () => source.handover()?.taken.outcomes)
     this.addStoreReads(() => source.storeReads())
     this.addRestarts(() => source.components())
   }
@@ -152,15 +159,15 @@
     }))
   }
 
-  private addLeases (quotas: () => QuotaCounters): void {
+  private addOutcomes (name: string, help: string, read: () => Readonly<Record<string, number>> | undefined): void {
     this.registry.registerMetric(new Counter({
-      name: 'cowsliplead_quota_leases_total',
-      help: 'Requests for tokens of customers, by outcome',
+      name,
+      help,
       labelNames: ['outcome'],
       registers: [],
       collect () {
         this.reset()
-        for (const [outcome, count] of Object.entries(quotas().leases)) this.inc({ outcome }, count)
+        for (const [outcome, count] of Object.entries(read() ?? {})) this.inc({ outcome }, count)
       }
     }))
   }
--- a/packages/daemon/src/core/quotas/leaseClient.ts
+++ b/packages/daemon/src/core/quotas/leaseClient.ts
@@ -4,7 +4,7 @@
 import type { FleetMember } from '@cowsliplead/core/types/fleetMember.js'
 import type { LeaseAnswer, LeaseRequest, LeaseResult } from '@cowsliplead/core/types/quota.js'
 import { parseJson } from '@cowsliplead/core/utils/parseJson.js'
-import { PEER_PURPOSE_HEADER } from '../peers/peerServer.js'
+import { PEER_PURPOSE_HEADER } from '../../utils/headers.js'
 import { LEASE_ANSWERS, MAX_CUSTOMERS, MAX_MESSAGE_BYTES } from './leaseMessages.js'
 
 /** Time after which a holder counts as unreachable: callers wait for it, and event loops of busy VMs lag by tens of ms. */
--- a/packages/daemon/src/core/upstreams/upstreamProbe.ts
+++ b/packages/daemon/src/core/upstreams/upstreamProbe.ts
@@ -18,8 +18,11 @@
   readonly warmupLeftMs: Milliseconds | undefined
 }
 
-/** Result of a probe. `failed`: the upstream was not reached or sent no load report, or a different one answered. */
-export type ProbeResult = ProbeReport | { readonly kind: 'failed' }
+/**
+ * Result of a probe. `failed`: the upstream was not reached or sent no load report, or a different one answered; `hasResponded`
+ * tells whether anything did.
+ */
+export type ProbeResult = ProbeReport | { readonly kind: 'failed', readonly hasResponded: boolean }
 
 /** Options of a probe. */
 export interface UpstreamProbeOptions {
@@ -35,6 +38,7 @@
 /** Requests the load report of one upstream. The health that it reports is ignored, as it may be wrong either way. */
 export class UpstreamProbe implements ExchangeHandler {
   private report: LoadReport | undefined
+  private hasResponded = false
   private rateNotice: RateNotice | undefined
   private warmupLeftMs: Milliseconds | undefined
   private readonly timer: NodeJS.Timeout
@@ -56,6 +60,7 @@
 
   onHead ({ status, rawHeaders }: ParsedHead): 'accept' | 'skip' {
     const { connection, dialect, clock } = this.options
+    this.hasResponded = true
     const metadata = dialect.readResponseMetadata(status, rawHeaders, clock.now())
     // Only responses to callers' requests echo an id, so this is a late extra response to an earlier request.
     if (metadata.echoedId !== undefined) return 'skip'
@@ -89,6 +94,6 @@
   private end (): void {
     clearTimeout(this.timer)
     const { report, rateNotice, warmupLeftMs } = this
-    this.done(report === undefined ? { kind: 'failed' } : { kind: 'report', report, rateNotice, warmupLeftMs })
+    this.done(report === undefined ? { kind: 'failed', hasResponded: this.hasResponded } : { kind: 'report', report, rateNotice, warmupLeftMs })
   }
 }
