--- a/packages/core/src/core/health/upstreamTable.ts
+++ b/packages/core/src/core/health/upstreamTable.ts
@@ -94,12 +94,11 @@
     return this.states.size - this.available.length
   }
 
-  /** Stops new work for an incarnation of an upstream for good. Returns whether that is new. */
-  markLeaving (upstreamId: string, incarnation: number | undefined): boolean {
-    const isNew = this.leaving.add(upstreamId, incarnation)
+  /** Stops new work for an incarnation of an upstream for good. */
+  markLeaving (upstreamId: string, incarnation: number | undefined): void {
+    this.leaving.add(upstreamId, incarnation)
     const state = this.states.get(upstreamId)
-    if (state?.upstream.incarnation === incarnation && state !== undefined) state.isLeaving = true
-    return isNew
+    if (state !== undefined && state.upstream.incarnation === incarnation) state.isLeaving = true
   }
 
   /** Adapts the subset to the attempts in flight: a VM that is left alone carries the load of the whole fleet. */
--- a/packages/core/src/core/limits/admission.ts
+++ b/packages/core/src/core/limits/admission.ts
@@ -16,7 +16,10 @@
   return undefined
 }
 
-/** The code with which a call that waits, for its first attempt or a retry, is refused because no upstream can take it in time; undefined if one can. */
+/**
+ * The code with which a call that waits, for its first attempt or a retry, is refused because no upstream can take it in
+ * time; undefined if one can.
+ */
 export function checkReachability (context: RoutingContext, call: Call): ResultCodeName | undefined {
   const { table, clock } = context
   const now = clock.now()
--- a/packages/core/src/core/limits/rateAdmission.ts
+++ b/packages/core/src/core/limits/rateAdmission.ts
@@ -7,8 +7,8 @@
 const MS_PER_SECOND = 1000
 
 /**
- * When a new call can start if all upstreams in use name request rates or have asked for a pause; undefined if one takes any number of requests, or
- * none accepts new work.
+ * When a new call can start if all upstreams in use name request rates or have asked for a pause; undefined if one takes
+ * any number of requests, or none accepts new work.
  */
 export function rateLimitedUntil ({ table, queue, clock }: RoutingContext, call: Call): Milliseconds | undefined {
   const now = clock.now()
