--- a/packages/core/src/core/dispatch/dispatcher.ts
+++ b/packages/core/src/core/dispatch/dispatcher.ts
@@ -2,6 +2,7 @@
 import type { AttemptEnd, Call } from '../../types/dispatch.js'
 import type { DispatcherSnapshot } from '../../types/dispatcherSnapshot.js'
 import { NO_POLICY_EXCEPTIONS, type PolicyExceptions, type RoutingPolicy } from '../../types/routingPolicy.js'
+import type { Warmup } from '../../types/routes.js'
 import type { LoadReport, RateNotice, ResponseSignals, Upstream } from '../../types/upstream.js'
 import { AttemptEventHandler } from './attemptEventHandler.js'
 import { CallEngine } from './callEngine.js'
@@ -97,6 +98,17 @@
     if (state !== undefined) this.attemptEvents.onRateNotice(state, notice)
   }
 
+  /** Sets what a cold upstream of the service takes from all VMs together; undefined without a limit. */
+  setWarmup (warmup: Warmup | undefined): void {
+    this.context.table.setWarmup(warmup)
+    this.engine.startWaitingCalls()
+  }
+
+  /** Handles an upstream's statement that it stays cold for `warmupLeftMs`. */
+  onWarmupNotice (upstreamId: string, warmupLeftMs: Milliseconds): void {
+    this.context.table.get(upstreamId)?.rateLimit.setColdUntil(this.context.clock.now() + warmupLeftMs)
+  }
+
   /** Handles what the head of a response to an attempt says about new work for its upstream. */
   onAttemptSignals (attemptId: number, signals: ResponseSignals): void {
     const attempt = this.engine.attempts.get(attemptId)
--- a/packages/core/src/core/health/upstreamState.ts
+++ b/packages/core/src/core/health/upstreamState.ts
@@ -58,8 +58,6 @@
   isLeaving = false
   /** Requested by the upstream. Separate from the backoff, which the VM's own decisions shorten. */
   readonly pause = UpstreamPause.create()
-  /** When the evacuation of its failure domain ended; it may have become cold since. Undefined if there was none. */
-  assumedColdSince: Milliseconds | undefined
   /** When the pending probe was sent; undefined if none is pending. */
   probeSentAt: Milliseconds | undefined
   isUnresponsive = false
--- a/packages/core/src/core/health/upstreamTable.ts
+++ b/packages/core/src/core/health/upstreamTable.ts
@@ -2,6 +2,7 @@
 import type { UpstreamSnapshot } from '../../types/dispatcherSnapshot.js'
 import type { RandomSource } from '../../types/randomSource.js'
 import { NO_POLICY_EXCEPTIONS, type PolicyExceptions, type RoutingPolicy } from '../../types/routingPolicy.js'
+import type { Warmup } from '../../types/routes.js'
 import type { LoadReport, Upstream } from '../../types/upstream.js'
 import { wholeShare } from '../limits/fleetShare.js'
 import { UNDIVIDED_RATES, type RateDivision } from '../limits/rateDivision.js'
@@ -39,6 +40,7 @@
   private subsetFactor = 1
   private entryRank = 0
   private entryCount = 1
+  private warmup: Warmup | undefined
   private exceptions = NO_POLICY_EXCEPTIONS.upstreams
 
   private constructor (private policy: RoutingPolicy, private readonly localVm: LocalVm) {}
@@ -63,6 +65,12 @@
     return this.used
   }
 
+  /** Sets what a cold upstream takes from all VMs together; undefined without a limit. */
+  setWarmup (warmup: Warmup | undefined): void {
+    this.warmup = warmup
+    for (const { rateLimit } of this.states.values()) rateLimit.setWarmup(warmup)
+  }
+
   setUpstreams (upstreams: readonly Upstream[], now: Milliseconds): void {
     const upstreamIds = new Set(upstreams.map(upstream => upstream.id))
     for (const id of this.states.keys()) {
@@ -74,7 +82,7 @@
 
   /**
    * Takes the upstreams of these failure domains out of use, and returns those of the others to use. Upstreams that return
-   * may be cold, so they start slowly and are marked as possibly cold from now on.
+   * may be cold without having said so yet, so they start slowly and within the warm-up rate.
    */
   setEvacuatedDomains (domains: ReadonlySet<string>, now: Milliseconds): void {
     for (const state of this.states.values()) {
@@ -174,6 +182,7 @@
       warmth: state.warmth,
       reportTrust: state.reportTrust,
       requestsPerSecond: state.rateLimit.requestsPerSecond,
+      isCold: state.rateLimit.isCold(now),
       draining: isDraining(state, now),
       leaving: state.isLeaving,
       pauseLeftMs: state.pause.leftMs(now),
@@ -193,6 +202,7 @@
     // What was learned about an upstream does not apply to a new process under the same id.
     if (known !== undefined && known.upstream.incarnation === upstream.incarnation) {
       known.upstream = upstream
+      known.rateLimit.setColdUntil(upstream.warmAt ?? -Infinity)
       return
     }
     // Upstreams listed before the first call count as warm: a restarted entry VM must not throttle a whole service.
@@ -200,6 +210,8 @@
     const { vmId, random, rateDivision = UNDIVIDED_RATES } = this.localVm
     const preference = preferenceOf(vmId, upstream.id)
     const rateLimit = UpstreamRateLimit.create({ upstream, division: rateDivision, random })
+    rateLimit.setWarmup(this.warmup)
+    rateLimit.setColdUntil(upstream.warmAt ?? -Infinity)
     const state = UpstreamState.create({ upstream, preference, slowStartedAt, policy: this.policyOf(upstream.id), rateLimit })
     state.isLeaving = this.leaving.has(upstream.id, upstream.incarnation)
     this.states.set(upstream.id, state)
@@ -261,7 +273,7 @@
 }
 
 function markReturned (state: UpstreamState, now: Milliseconds): void {
-  state.assumedColdSince = now
+  state.rateLimit.assumeCold(now)
   state.slowStartedAt = now
 }
 
--- a/packages/core/src/core/limits/pauseAdmission.ts
+++ b/packages/core/src/core/limits/pauseAdmission.ts
@@ -18,6 +18,6 @@
 
 /** When the upstream takes the next request, by its pause and its request rate; undefined if it names neither. */
 export function nextStartAt ({ pause, rateLimit }: UpstreamState, now: Milliseconds): Milliseconds | undefined {
-  if (!pause.isActive(now) && !rateLimit.isLimited) return undefined
+  if (!pause.isActive(now) && !rateLimit.isLimited(now)) return undefined
   return Math.max(pause.until, rateLimit.nextStartAt(now))
 }
--- a/packages/core/src/core/limits/rateAdmission.ts
+++ b/packages/core/src/core/limits/rateAdmission.ts
@@ -19,7 +19,7 @@
     const startAt = nextStartAt(state, now)
     if (startAt === undefined) return undefined
     firstStartAt = Math.min(firstStartAt, startAt)
-    requestsPerSecond += state.rateLimit.ownRequestsPerSecond
+    requestsPerSecond += state.rateLimit.ownRequestsPerSecond(now)
   }
   if (firstStartAt === Infinity) return undefined
   return Math.max(firstStartAt, now) + queue.countBefore(call.kind) / requestsPerSecond * MS_PER_SECOND
--- a/packages/daemon/src/core/callers/proxy.ts
+++ b/packages/daemon/src/core/callers/proxy.ts
@@ -2,7 +2,9 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import type { Clock, Milliseconds } from '@cowsliplead/core/types/clock.js'
+import type { Customer } from '@cowsliplead/core/types/customer.js'
 import type { Call } from '@cowsliplead/core/types/dispatch.js'
+import type { QuotaDecision } from '@cowsliplead/core/types/quota.js'
 import type { RequestKind } from '@cowsliplead/core/types/requestKind.js'
 import type { ResultCodeName } from '@cowsliplead/core/types/resultCode.js'
 import type { Dialect } from '../../types/dialect.js'
@@ -20,10 +22,17 @@
 /** After this time, a caller that a stopping VM has refused may send its request to another one. */
 const STOPPING_RETRY_MS: Milliseconds = 20
 
-/** The service that a request is routed to, and its kind. */
+/** VMs that have lost contact ask others for the age of their keys twice a second. */
+const UNCONFIRMED_RETRY_MS: Milliseconds = 500
+
+/** The service that a request is routed to, its kind and its customer. */
 export interface RequestTarget {
   readonly forwarder: ServiceForwarder
   readonly kind: RequestKind
+  /** Undefined if the request needs no key. */
+  readonly customer?: Customer | undefined
+  /** Whether the headers that identify a customer are removed from the request; the upstream learns its name only. */
+  readonly hidesCredentials: boolean
 }
 
 /** Options of the proxy. */
@@ -33,6 +42,8 @@
   readonly dialect: Dialect
   /** Returns the target of a request, or a result code if it cannot be routed. */
   readonly route: (request: IncomingMessage) => RequestTarget | ResultCodeName
+  /** Decides whether a customer's request is within its quota, and returns a function that withdraws the request. */
+  readonly admit: (customer: Customer, decide: (decision: QuotaDecision) => void) => () => void
   /** Timeout for receiving a buffered body, and for each pause within a streamed one. */
   readonly bodyTimeoutMs: Milliseconds
   /** Size limit of request bodies; unlimited if absent. */
@@ -60,9 +71,12 @@
   /** Number of requests whose response has not been fully sent. */
   inFlight = 0
   private readonly pipelines: PipelineCounter
+  private readonly unforwardedHeaders: ReadonlySet<string>
 
   private constructor (private readonly options: ProxyOptions) {
-    this.pipelines = PipelineCounter.create(options.clock)
+    const { clock, dialect } = options
+    this.pipelines = PipelineCounter.create(clock)
+    this.unforwardedHeaders = new Set([...dialect.strippedRequestHeaders, ...dialect.credentialHeaders])
   }
 
   static create (options: ProxyOptions): Proxy {
@@ -88,7 +102,7 @@
     const requestId = dialect.forwardsCallerIds && callerId !== undefined ? callerId : ids.next(callerId)
     const sink = this.createSink(request, response, callerId ?? requestId)
     const target = route(request)
-    if (typeof target === 'string') return sink.sendError(target, '')
+    if (typeof target === 'string') return sink.sendError(target, '', { retryAfterMs: target === 'keysUnconfirmed' ? UNCONFIRMED_RETRY_MS : undefined })
     const timeLeftMs = dialect.timeLeftMs(request.headers) ?? Infinity
     const deadlineAt = arrivedAt + Math.min(timeLeftMs, target.kind.deadlineMs)
     if (this.options.stopPlan()?.accepts(arrivedAt, deadlineAt) === false) {
@@ -96,8 +110,32 @@
       return sink.sendError('stopping', '', { retryAfterMs: STOPPING_RETRY_MS })
     }
     const routed = { request, response, sink, target, requestId, arrivedAt, deadlineAt }
+    this.checkQuota(routed)
+  }
+
+  /** The caller may leave before the decision. Until then the body is not read, and Node keeps it. */
+  private checkQuota (routed: RoutedRequest): void {
+    const { target: { customer }, response } = routed
+    if (customer === undefined) return this.read(routed)
+    const withdraw = this.options.admit(customer, decision => this.onQuotaDecision(routed, decision))
+    response.once('close', withdraw)
+  }
+
+  private onQuotaDecision (routed: RoutedRequest, decision: QuotaDecision): void {
+    const { sink, requestId, deadlineAt } = routed
+    if (decision.kind === 'refused') {
+      this.options.onRefused(requestId, 'overQuota')
+      return sink.sendError('overQuota', '', { retryAfterMs: decision.retryAfterMs })
+    }
+    if (this.options.clock.now() < deadlineAt) return this.read(routed)
+    this.options.onRefused(requestId, 'deadlinePassed')
+    sink.sendError('deadlinePassed', '')
+  }
+
+  private read (routed: RoutedRequest): void {
+    const { request, sink, deadlineAt } = routed
     readBody(request, {
-      timeoutMs: Math.min(this.options.bodyTimeoutMs, Math.max(deadlineAt - arrivedAt, 0)),
+      timeoutMs: Math.min(this.options.bodyTimeoutMs, Math.max(deadlineAt - this.options.clock.now(), 0)),
       maxBytes: this.options.maxBodyBytes?.() ?? Infinity,
       onBody: body => this.trySubmit(routed, body),
       onTimeout: () => sink.sendError('bodyTimeout', ''),
@@ -128,7 +166,7 @@
     const callRequest = {
       method: request.method as string,
       path: request.url as string,
-      headers: requestHeaders(request.rawHeaders, request.headers.connection, dialect.strippedRequestHeaders),
+      headers: this.headersFor(routed),
       body,
       requestId
     }
@@ -138,6 +176,15 @@
     forwarder.submit(activeCall)
   }
 
+  /** The caller's headers that are forwarded, and the name of its customer. */
+  private headersFor ({ request, target: { customer, hidesCredentials } }: RoutedRequest): string[] {
+    const { dialect } = this.options
+    const dropped = hidesCredentials ? this.unforwardedHeaders : dialect.strippedRequestHeaders
+    const headers = requestHeaders(request.rawHeaders, request.headers.connection, dropped)
+    if (customer !== undefined) headers.push(...dialect.customerHeaders(customer.name))
+    return headers
+  }
+
   private cancelOnClose (routed: RoutedRequest, cancel: () => void): void {
     routed.response.once('close', () => {
       if (!routed.response.writableFinished) cancel()
@@ -145,10 +192,11 @@
   }
 
   private createCall (routed: RoutedRequest, body: RequestBody): Call {
-    const { request, target: { kind }, arrivedAt, deadlineAt } = routed
+    const { request, target: { kind, customer }, arrivedAt, deadlineAt } = routed
     return {
       id: this.options.ids.nextCallId(),
       kind,
+      customer: customer?.name,
       arrivedAt,
       deadlineAt,
       targetAt: kind.targetMs === undefined ? undefined : arrivedAt + kind.targetMs,
--- a/packages/daemon/src/core/control/tableReader.ts
+++ b/packages/daemon/src/core/control/tableReader.ts
@@ -1,8 +1,11 @@
 import type { Clock, Milliseconds } from '@cowsliplead/core/types/clock.js'
+import type { Instant } from '@cowsliplead/core/types/elapsedClock.js'
 import type { ControlStore, StoreEpoch, StoreFailure, TableName, TablePosition, TableRecord } from '../../types/controlStore.js'
 import type { Component } from '../../types/component.js'
 import type { FeedTable, HeldRecords, OffsetChanges, TableCopy } from '../../types/feedTable.js'
+import { includes, isAhead } from '../../utils/tablePosition.js'
 import { sleep } from '../../utils/sleep.js'
+import type { ReadConfirmation } from '../customers/keyConfirmation.js'
 import type { ChangeFeed } from '../feed/changeFeed.js'
 import { readSnapshot, type TableSnapshot } from './tableSnapshot.js'
 
@@ -56,6 +59,11 @@
   readonly maxFeedAgeMs: Milliseconds
   /** Whether a VM that starts may take another one's copy of the table instead of reading it; false by default. */
   readonly startsFromCopy?: boolean
+  /**
+   * Receives the reads that were applied. The reader then also takes another VM's copy while the store does not answer this
+   * VM and changes were missed. Undefined if the age of the table is not limited.
+   */
+  readonly confirmation?: ReadConfirmation | undefined
 }
 
 /**
@@ -94,7 +102,13 @@
   }
 
   get needsCopy (): boolean {
-    return this.mayTakeCopy && this.position === undefined
+    return (this.mayTakeCopy && this.position === undefined) || this.mayCatchUp
+  }
+
+  /** Whether this VM has missed changes and cannot read them from the store. */
+  private get mayCatchUp (): boolean {
+    const { feed, table, confirmation } = this.options
+    return confirmation !== undefined && this.isFailing && this.position !== undefined && feed.isBehind(table, this.position)
   }
 
   records (): readonly TableRecord[] {
@@ -152,18 +166,21 @@
   }
 
   private async readAll (signal: AbortSignal): Promise<StoreFailure | undefined> {
-    const { store, table, feed } = this.options
+    const { store, table, feed, confirmation } = this.options
+    const sentAt = confirmation?.now()
     const snapshot = await readSnapshot(store, table)
     if (signal.aborted) return undefined
     if (snapshot.isErr) return snapshot.error
     this.onAnswer()
     this.replace(snapshot.value)
+    this.confirm(snapshot.value.position, sentAt)
     feed.publish(table, snapshot.value.position)
     return undefined
   }
 
   private async readChanges (position: TablePosition, waitMs: Milliseconds, signal: AbortSignal): Promise<StoreFailure | undefined> {
-    const { store, table, feed } = this.options
+    const { store, table, feed, confirmation } = this.options
+    const sentAt = confirmation?.now()
     const changes = await store.readChanges(table, position.offset, waitMs)
     if (signal.aborted) return undefined
     if (changes.isErr) {
@@ -174,10 +191,17 @@
     if (epoch !== position.epoch) return this.onOtherEpoch()
     this.onAnswer()
     this.apply({ epoch, from: position.offset, records })
+    this.confirm({ epoch, offset: end }, sentAt)
     feed.publish(table, { epoch, offset: end }, { epoch, from: position.offset, records })
     return undefined
   }
 
+  /** Reports a read, unless a copy of another epoch has come into force meanwhile in place of what was read. */
+  private confirm (position: TablePosition, sentAt: Instant | undefined): void {
+    if (sentAt === undefined || this.position === undefined || !includes(this.position, position)) return
+    this.options.confirmation?.onRead(position, sentAt)
+  }
+
   /** The offset that was read from means something else after a restore of the store: all records have to be read. */
   private onOtherEpoch (): StoreFailure {
     this.position = undefined
@@ -196,7 +220,9 @@
 
   receiveCopy (copy: TableCopy): void {
     // An old copy may contain upstreams that have left since.
-    if (!this.needsCopy || copy.ageMs > this.options.maxFeedAgeMs) return
+    const isNewer = this.position !== undefined && isAhead(copy.position, this.position)
+    if (!this.needsCopy || (copy.ageMs > this.options.maxFeedAgeMs && !isNewer)) return
+    if (this.position !== undefined && !isNewer) return
     this.reportErrors(() => {
       this.onAnswer()
       if (copy.held !== undefined) this.options.consumer.onHeldRecords?.(copy.held)
--- a/packages/daemon/src/core/gateway/gateway.ts
+++ b/packages/daemon/src/core/gateway/gateway.ts
@@ -18,9 +18,12 @@
 import { MEMBERS_GROUP } from '../feed/membership.js'
 import { PeerServer } from '../peers/peerServer.js'
 import { PolicyPublisher } from '../control/policyPublisher.js'
+import { Authenticator } from '../customers/authenticator.js'
+import { KeyConfirmation } from '../customers/keyConfirmation.js'
 import { PolicyRestorer } from '../control/policyRestorer.js'
 import { PolicyState, POLICY_KEY } from '../control/policyState.js'
 import { SharedSuspects, SUSPECTS_GROUP } from '../control/sharedSuspects.js'
+import { Quotas } from '../quotas/quotas.js'
 import type { TableReader } from '../control/tableReader.js'
 import { Metrics } from '../operators/metrics.js'
 import { EventLoopMonitor } from '../supervision/eventLoopMonitor.js'
@@ -68,6 +71,9 @@
   private readonly random = SeededRandom.create(process.pid ^ Date.now())
   private readonly tickTimer = TickTimer.create(this.clock)
   private readonly eventLog: EventLog
+  /** Undefined if the age of keys is not limited. */
+  private readonly keyConfirmation: KeyConfirmation | undefined
+  private readonly authenticator: Authenticator
   private readonly services: GatewayServices
   private readonly controlState: ControlState
   private readonly policyState: PolicyState
@@ -77,6 +83,7 @@
   private readonly fleet: Fleet
   /** Undefined if this VM takes no requests of the others. */
   private readonly peerServer: PeerServer | undefined
+  private readonly quotas: Quotas
   private readonly proxy: Proxy
   private readonly callerServer: CallerServer
   private readonly readinessServer: ReadinessServer
@@ -95,6 +102,8 @@
     const { store } = dependencies
     this.eventLog = EventLog.create(settings.vmId, clock, dependencies.output)
     const { logger } = this.eventLog
+    this.keyConfirmation = KeyConfirmation.create(settings.maxKeyAgeMs, logger)
+    this.authenticator = Authenticator.create(dependencies.dialect, this.keyConfirmation?.age)
     const metrics = this.createMetrics()
     const members = FleetMembers.create(settings.vmId)
     this.services = this.createServices(metrics, members)
@@ -107,12 +116,16 @@
       store,
       clock,
       logger,
-      onSizeChange: vms => this.onFleetSizeChange(vms),
+      onSizeChange: vms => {
+        this.quotas.onMembersChange()
+        this.onFleetSizeChange(vms)
+      },
+      confirmations: this.keyConfirmation?.exchange,
       onLeaving: notice => this.services.markLeaving(notice)
     })
     const { feed, membership } = this.fleet
     this.controlState = ControlState.create({
-      store, clock, services: this.services, logger, feed, renewalMs: settings.renewalMs, onConfig: () => this.callerServer.applyLimits()
+      store, clock, services: this.services, logger, feed, keyConfirmation: this.keyConfirmation, renewalMs: settings.renewalMs, onConfig: () => this.callerServer.applyLimits()
     })
     this.policyRestorer = this.createPolicyRestorer()
     this.policyState = PolicyState.create({
@@ -126,6 +139,7 @@
       feed,
       consumers: { [POLICY_KEY]: this.policyState, [SUSPECTS_GROUP]: this.sharedSuspects, [MEMBERS_GROUP]: membership }
     })
+    this.quotas = Quotas.create({ settings, members, clock, random: this.random, logger, config: () => this.services.config })
     this.proxy = this.createProxy()
     this.peerServer = this.createPeerServer()
     this.callerServer = CallerServer.create({
@@ -194,6 +208,7 @@
     if (this.stopPlan !== undefined) return ['stopping']
     const reasons = this.supervisor.failingComponents().map(name => `${name} fails repeatedly`)
     reasons.push(...this.controlState.missing())
+    reasons.push(...this.keyConfirmation?.missing() ?? [])
     const isWaitingForPolicy = this.clock.now() < this.startedAt + POLICY_WAIT_MS
     if (isWaitingForPolicy && !this.fleetTable.isLoaded) reasons.push('the policy is not known')
     return reasons
@@ -213,6 +228,7 @@
       rejectedEntries: this.services.config?.rejectedEntries?.map(entry => ({ ...entry })),
       evacuatedDomains: this.controlState.evacuations.domains(),
       storeAgeMs: this.controlState.storeAgeMs,
+      keyAgeMs: this.keyConfirmation?.roundedAgeMs,
       callsInFlight: this.proxy.inFlight,
       components: this.supervisor.componentStates()
     }
@@ -245,6 +261,7 @@
     this.sharedSuspects.close()
     this.dependencies.store.close()
     this.services.close()
+    this.quotas.close()
     this.tickTimer.stop()
   }
 
@@ -256,6 +273,7 @@
       random: this.random,
       tickTimer,
       dialect: this.dependencies.dialect,
+      authenticator: this.authenticator,
       connectionSettings: { connectTimeoutMs: CONNECT_TIMEOUT_MS },
       vmId: settings.vmId,
       failureDomain: settings.failureDomain,
@@ -279,6 +297,7 @@
       ids: RequestIds.create(this.settings.vmId),
       dialect: this.dependencies.dialect,
       route: request => this.services.route(request),
+      admit: (customer, decide) => this.quotas.admit(customer, decide),
       bodyTimeoutMs: this.settings.bodyTimeoutMs,
       maxBodyBytes: () => this.services.config?.limits.maxBodyBytes ?? Infinity,
       stopPlan: () => this.stopPlan,
@@ -294,7 +313,7 @@
       ? undefined
       : PeerServer.create({
           address: peerAddress,
-          handlers: {},
+          handlers: { quota: this.quotas.handler },
           onError: error => logger.error('internal error while handling a request of another VM', { error: error.stack })
         })
   }
@@ -317,11 +336,14 @@
       unreadableConfigs: () => this.controlState.unreadableConfigs,
       evacuatedDomains: () => this.controlState.evacuations.count,
       policyRevision: () => this.policyState.revision,
+      keyAgeMs: () => this.keyConfirmation?.roundedAgeMs,
+      keyRefusals: () => this.authenticator.refusals,
       isReady: () => this.unreadyReasons().length === 0,
       callsInFlight: () => this.proxy.inFlight,
       logLinesLost: () => this.eventLog.omitted + this.eventLog.dropped,
       stallCount: () => this.stallCount,
       fleet: () => this.fleet.snapshot(),
+      quotas: () => this.quotas.counters,
       storeReads: () => this.tableReaders().map(({ table, reads }) => ({ table, reads })),
       components: () => this.supervisor.componentStates()
     })
@@ -338,6 +360,7 @@
       ...this.status(),
       control: this.controlState.describe(),
       fleet: this.fleet.snapshot(),
+      quotas: this.quotas.describe(),
       policy: this.services.policyDocument,
       services: Object.fromEntries(this.services.forwarders().map(forwarder => [forwarder.service, forwarder.describe()]))
     }
--- a/packages/daemon/src/core/operators/metrics.ts
+++ b/packages/daemon/src/core/operators/metrics.ts
@@ -1,4 +1,5 @@
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
+import type { QuotaCounters } from '@cowsliplead/core/core/quotas/leaseAccount.js'
 import type { FleetSnapshot } from '../feed/fleet.js'
 import type { ServiceForwarder } from '../upstreams/serviceForwarder.js'
 import type { ServiceCounters } from '../upstreams/serviceCounters.js'
@@ -12,6 +13,10 @@
   rejectedEntries (): number
   /** Configurations since the start that could not be used at all. */
   unreadableConfigs (): number
+  /** Greatest possible age of the keys in force, in milliseconds; undefined if it is not limited or not known. */
+  keyAgeMs (): number | undefined
+  /** Requests since the start that were refused for their key, by result code. */
+  keyRefusals (): ReadonlyMap<string, number>
   isReady (): boolean
   /** Number of evacuated failure domains. */
   evacuatedDomains (): number
@@ -22,6 +27,7 @@
   logLinesLost (): number
   callsInFlight (): number
   fleet (): FleetSnapshot
+  quotas (): QuotaCounters
   /** Reads of the store since the start, by table. */
   storeReads (): ReadonlyArray<{ readonly table: string, readonly reads: number }>
   components (): readonly ComponentState[]
@@ -47,6 +53,7 @@
     this.addServiceGauge('cowsliplead_ejected_upstreams', 'Ejected upstreams, which receive trial calls only', forwarder => countUpstreams(forwarder, 'ejected'))
     this.addServiceGauge('cowsliplead_draining_upstreams', 'Draining upstreams, which receive no new calls', forwarder => countUpstreams(forwarder, 'draining'))
     this.addServiceGauge('cowsliplead_rate_limited_upstreams', 'Upstreams that name a request rate', countRateLimited)
+    this.addServiceGauge('cowsliplead_cold_upstreams', 'Upstreams that are cold and get a limited number of requests', forwarder => countUpstreams(forwarder, 'isCold'))
     this.addServiceGauge('cowsliplead_leaving_upstreams', 'Upstreams in use that have said that they are leaving', forwarder => countUpstreams(forwarder, 'leaving'))
     this.addServiceGauge('cowsliplead_paused_upstreams', 'Upstreams in use that have asked for a pause', countPaused)
     this.addServiceGauge('cowsliplead_evacuated_upstreams', 'Registered upstreams in evacuated failure domains', forwarder => forwarder.dispatcher.snapshot().evacuatedUpstreams)
@@ -62,6 +69,11 @@
     this.addGauge('cowsliplead_fleet_vms', 'Known entry VMs, this one included', () => source.fleet().vms)
     this.addGauge('cowsliplead_followed_vms', 'Entry VMs that this one follows for changes of the control store', () => source.fleet().follows.length)
     this.addGauge('cowsliplead_followers', 'Entry VMs that follow this one for changes of the control store', () => source.fleet().followers)
+    this.addGauge('cowsliplead_key_age_seconds', 'Greatest possible age of the keys in force; NaN where it is not limited or not known', () => (source.keyAgeMs() ?? NaN) / 1000)
+    this.addKeyRefusals(() => source.keyRefusals())
+    this.addGauge('cowsliplead_over_quota_requests', 'Requests since the start that were refused because of a quota', () => source.quotas().refused)
+    this.addGauge('cowsliplead_quota_allowance_requests', 'Requests since the start that ran by the allowance of a VM without contact to the holders of a quota', () => source.quotas().allowanceUsed)
+    this.addLeases(() => source.quotas())
     this.addStoreReads(() => source.storeReads())
     this.addRestarts(() => source.components())
   }
@@ -127,6 +139,32 @@
     })
   }
 
+  private addKeyRefusals (keyRefusals: MetricsSource['keyRefusals']): void {
+    this.registry.registerMetric(new Counter({
+      name: 'cowsliplead_key_refusals_total',
+      help: 'Requests refused for their key, by result',
+      labelNames: ['result'],
+      registers: [],
+      collect () {
+        this.reset()
+        for (const [result, count] of keyRefusals()) this.inc({ result }, count)
+      }
+    }))
+  }
+
+  private addLeases (quotas: () => QuotaCounters): void {
+    this.registry.registerMetric(new Counter({
+      name: 'cowsliplead_quota_leases_total',
+      help: 'Requests for tokens of customers, by outcome',
+      labelNames: ['outcome'],
+      registers: [],
+      collect () {
+        this.reset()
+        for (const [outcome, count] of Object.entries(quotas().leases)) this.inc({ outcome }, count)
+      }
+    }))
+  }
+
   private addStoreReads (storeReads: MetricsSource['storeReads']): void {
     this.registry.registerMetric(new Counter({
       name: 'cowsliplead_store_reads_total',
@@ -154,7 +192,7 @@
   }
 }
 
-function countUpstreams (forwarder: ServiceForwarder, state: 'ejected' | 'draining' | 'leaving'): number {
+function countUpstreams (forwarder: ServiceForwarder, state: 'ejected' | 'draining' | 'isCold' | 'leaving'): number {
   return forwarder.dispatcher.snapshot().upstreams.filter(upstream => upstream[state]).length
 }
 
