--- a/packages/daemon/src/core/customers/authenticator.ts
+++ b/packages/daemon/src/core/customers/authenticator.ts
@@ -1,4 +1,4 @@
-import type { IncomingHttpHeaders } from 'node:http'
+import type { IncomingHttpHeaders, IncomingMessage } from 'node:http'
 import { CustomerDirectory } from '@cowsliplead/core/core/customers/customerDirectory.js'
 import type { Customer } from '@cowsliplead/core/types/customer.js'
 import type { ResultCodeName } from '@cowsliplead/core/types/resultCode.js'
@@ -6,6 +6,12 @@
 import type { ConfigurationAge } from './configurationAge.js'
 import type { Dialect } from '../../types/dialect.js'
 
+/**
+ * A `.` or `..` as a segment of a path, also percent-encoded (RFC 3986 section 5.2.4). Upstreams may resolve it, so that the
+ * path of a public route leads to a resource that needs a key.
+ */
+const DOT_SEGMENT = /^[^?]*(\/|%2f)(\.|%2e){1,2}([/?#]|%2f|$)/i
+
 /** Identifies the customer of each request by its key, where the configuration has customers. */
 export class Authenticator {
   /** Requests since the start that were refused for their key, by result code. */
@@ -31,8 +37,8 @@
   }
 
   /** The customer of a request to `route`, undefined if it needs none, or the result code with which it is refused. */
-  identify (headers: IncomingHttpHeaders, route: Route): Customer | ResultCodeName | undefined {
-    if (this.directory === undefined || route.isPublic === true) return undefined
+  identify ({ headers, url = '' }: Pick<IncomingMessage, 'headers' | 'url'>, route: Route): Customer | ResultCodeName | undefined {
+    if (this.directory === undefined || (route.isPublic === true && !DOT_SEGMENT.test(url))) return undefined
     const outcome = this.findCustomer(this.directory, headers)
     if (typeof outcome === 'string') this.refusals.set(outcome, (this.refusals.get(outcome) ?? 0) + 1)
     return outcome
--- a/packages/daemon/src/core/gateway/gatewayServices.ts
+++ b/packages/daemon/src/core/gateway/gatewayServices.ts
@@ -117,7 +117,7 @@
     if (match === undefined) return 'noService'
     if (match.service === undefined) return 'routeUnavailable'
     const { authenticator } = this.options
-    const customer = authenticator.identify(request.headers, match.route)
+    const customer = authenticator.identify(request, match.route)
     if (typeof customer === 'string') return customer
     const forwarder = this.forwardersByService.get(match.service)
     if (forwarder === undefined) return 'noUpstream'
