--- a/packages/core/src/core/capacity/startEstimate.ts
+++ b/packages/core/src/core/capacity/startEstimate.ts
@@ -32,7 +32,7 @@
   const byDelay: Array<readonly [StartDelay, Milliseconds]> = [
     ['queue', queue.size === 0 ? 0 : queue.expectedWaitMs(call, now, startIntervalMs)],
     ['requestRate', (rateLimitedUntil(context, call) ?? now) - now],
-    ['pause', (pausedUntil(context, now) ?? now) - now]
+    ['pause', (closedUntil(context, now) ?? now) - now]
   ]
   const [delay, waitMs] = byDelay.reduce((longest, each) => each[1] > longest[1] ? each : longest, ['none', 0])
   return {
@@ -56,14 +56,15 @@
   return latestForTargetAt > call.arrivedAt ? latestForTargetAt : call.deadlineAt - neededMs
 }
 
-/** When the first upstream ends its pause, if all that are not draining pause; undefined if one does not, or none is left. */
-function pausedUntil ({ table }: RoutingContext, now: Milliseconds): Milliseconds | undefined {
+/** When the first upstream takes calls again, if all that are not draining pause or are backed off from; undefined if one takes calls, or none is left. */
+function closedUntil ({ table }: RoutingContext, now: Milliseconds): Milliseconds | undefined {
   let firstEndAt = Infinity
   for (const state of table.inUse()) {
     if (isDraining(state, now)) continue
     // An ejected upstream may be tried again at any time.
-    if (state.isEjected || state.backoffUntil <= now) return undefined
-    firstEndAt = Math.min(firstEndAt, state.backoffUntil)
+    const opensAt = Math.max(state.backoffUntil, state.pause.until)
+    if (state.isEjected || opensAt <= now) return undefined
+    firstEndAt = Math.min(firstEndAt, opensAt)
   }
   return firstEndAt === Infinity ? undefined : firstEndAt
 }
--- a/packages/core/src/core/health/upstreamTable.ts
+++ b/packages/core/src/core/health/upstreamTable.ts
@@ -2,11 +2,13 @@
 import type { UpstreamSnapshot } from '../../types/dispatcherSnapshot.js'
 import type { RandomSource } from '../../types/randomSource.js'
 import { NO_POLICY_EXCEPTIONS, type PolicyExceptions, type RoutingPolicy } from '../../types/routingPolicy.js'
+import type { Warmup } from '../../types/routes.js'
 import type { LoadReport, Upstream } from '../../types/upstream.js'
 import { wholeShare } from '../limits/fleetShare.js'
 import { UNDIVIDED_RATES, type RateDivision } from '../limits/rateDivision.js'
 import { UpstreamRateLimit } from '../limits/upstreamRateLimit.js'
 import { chooseSubset, preferenceOf } from '../routing/subset.js'
+import { LeavingUpstreams } from './leavingUpstreams.js'
 import { UpstreamState } from './upstreamState.js'
 
 /** Attempts in flight per used slot above which the subset of upstreams grows. */
@@ -27,6 +29,10 @@
 /** The upstreams of one service, with the subset that this VM uses, their limits and the VM's shares of their slots. */
 export class UpstreamTable {
   private readonly states = new Map<string, UpstreamState>()
+  private readonly leaving = LeavingUpstreams.create()
+  private evacuatedDomains: ReadonlySet<string> = new Set()
+  /** Those outside the evacuated failure domains. */
+  private available: readonly UpstreamState[] = []
   private used: UpstreamState[] = []
   /** Slots of the upstreams in use. */
   private usedSlots = 0
@@ -34,6 +40,7 @@
   private subsetFactor = 1
   private entryRank = 0
   private entryCount = 1
+  private warmup: Warmup | undefined
   private exceptions = NO_POLICY_EXCEPTIONS.upstreams
 
   private constructor (private policy: RoutingPolicy, private readonly localVm: LocalVm) {}
@@ -58,6 +65,12 @@
     return this.used
   }
 
+  /** Sets what a cold upstream takes from all VMs together; undefined without a limit. */
+  setWarmup (warmup: Warmup | undefined): void {
+    this.warmup = warmup
+    for (const { rateLimit } of this.states.values()) rateLimit.setWarmup(warmup)
+  }
+
   setUpstreams (upstreams: readonly Upstream[], now: Milliseconds): void {
     const upstreamIds = new Set(upstreams.map(upstream => upstream.id))
     for (const id of this.states.keys()) {
@@ -67,9 +80,38 @@
     this.rebuild()
   }
 
+  /**
+   * Takes the upstreams of these failure domains out of use, and returns those of the others to use. Upstreams that return
+   * may be cold without having said so yet, so they start slowly and within the warm-up rate.
+   */
+  setEvacuatedDomains (domains: ReadonlySet<string>, now: Milliseconds): void {
+    for (const state of this.states.values()) {
+      if (this.isEvacuated(state) && !domains.has(state.upstream.failureDomain)) markReturned(state, now)
+    }
+    this.evacuatedDomains = domains
+    this.rebuild()
+  }
+
+  /** Number of registered upstreams outside the evacuated failure domains. */
+  get availableCount (): number {
+    return this.available.length
+  }
+
+  /** Number of registered upstreams in evacuated failure domains. */
+  get evacuatedCount (): number {
+    return this.states.size - this.available.length
+  }
+
+  /** Stops new work for an incarnation of an upstream for good. */
+  markLeaving (upstreamId: string, incarnation: number | undefined): void {
+    this.leaving.add(upstreamId, incarnation)
+    const state = this.states.get(upstreamId)
+    if (state !== undefined && state.upstream.incarnation === incarnation) state.isLeaving = true
+  }
+
   /** Adapts the subset to the attempts in flight: a VM that is left alone carries the load of the whole fleet. */
   resizeSubset (attempts: number): void {
-    const isPartial = this.used.length < this.states.size
+    const isPartial = this.used.length < this.available.length
     if (isPartial && attempts > this.usedSlots * SUBSET_GROWTH_LOAD) this.setSubsetFactor(this.subsetFactor * 2)
     else if (this.subsetFactor > 1 && attempts < this.usedSlots * SUBSET_SHRINK_LOAD) this.setSubsetFactor(this.subsetFactor / 2)
   }
@@ -99,7 +141,7 @@
 
   /** Upstreams in use that take new work once they have a free slot. */
   working (now: Milliseconds): UpstreamState[] {
-    return this.used.filter(state => !state.isEjected && !isDraining(state, now) && state.backoffUntil <= now)
+    return this.used.filter(state => !state.isEjected && !isDraining(state, now) && state.backoffUntil <= now && !state.pause.isActive(now))
   }
 
   /** Stores a load report. If it changes the number of slots, the slots are divided anew among the VMs. */
@@ -119,6 +161,16 @@
     return this.used.reduce((count, { rateLimit }) => rateLimit.allows(now) ? count : count + 1, 0)
   }
 
+  /** Whether an upstream may be probed that gets no calls at present: none of the reasons forbids probes too. */
+  takesProbes (state: UpstreamState, now: Milliseconds): boolean {
+    return !this.isEvacuated(state) && !isDraining(state, now) && !state.pause.isActive(now) && !state.rateLimit.isLimited(now)
+  }
+
+  /** Number of upstreams in use that have asked for a pause which has not ended. */
+  countPaused (now: Milliseconds): number {
+    return this.used.reduce((count, { pause }) => pause.isActive(now) ? count + 1 : count, 0)
+  }
+
   /** Stops new work for an upstream until the given instant. */
   markDraining (state: UpstreamState, until: Milliseconds): void {
     state.drainingUntil = Math.max(state.drainingUntil, until)
@@ -140,7 +192,10 @@
       warmth: state.warmth,
       reportTrust: state.reportTrust,
       requestsPerSecond: state.rateLimit.requestsPerSecond,
+      isCold: state.rateLimit.isCold(now),
       draining: isDraining(state, now),
+      leaving: state.isLeaving,
+      pauseLeftMs: state.pause.leftMs(now),
       ejected: state.isEjected,
       attempts: state.attempts,
       failures: state.failures
@@ -148,7 +203,7 @@
   }
 
   private isOpen (state: UpstreamState, now: Milliseconds): boolean {
-    if (state.isEjected || isDraining(state, now) || state.backoffUntil > now) return false
+    if (state.isEjected || isDraining(state, now) || state.backoffUntil > now || state.pause.isActive(now)) return false
     return state.inFlight < this.limitOf(state) && state.rateLimit.allows(now)
   }
 
@@ -157,6 +212,7 @@
     // What was learned about an upstream does not apply to a new process under the same id.
     if (known !== undefined && known.upstream.incarnation === upstream.incarnation) {
       known.upstream = upstream
+      known.rateLimit.setColdUntil(upstream.warmAt ?? -Infinity)
       return
     }
     // Upstreams listed before the first call count as warm: a restarted entry VM must not throttle a whole service.
@@ -164,11 +220,15 @@
     const { vmId, random, rateDivision = UNDIVIDED_RATES } = this.localVm
     const preference = preferenceOf(vmId, upstream.id)
     const rateLimit = UpstreamRateLimit.create({ upstream, division: rateDivision, random })
-    this.states.set(upstream.id, UpstreamState.create({ upstream, preference, slowStartedAt, policy: this.policyOf(upstream.id), rateLimit }))
+    rateLimit.setWarmup(this.warmup)
+    rateLimit.setColdUntil(upstream.warmAt ?? -Infinity)
+    const state = UpstreamState.create({ upstream, preference, slowStartedAt, policy: this.policyOf(upstream.id), rateLimit })
+    state.isLeaving = this.leaving.has(upstream.id, upstream.incarnation)
+    this.states.set(upstream.id, state)
   }
 
   private hasServed (): boolean {
-    return this.used.some(({ attempts }) => attempts > 0)
+    return [...this.states.values()].some(({ attempts }) => attempts > 0)
   }
 
   private policyOf (upstreamId: string): RoutingPolicy {
@@ -180,8 +240,13 @@
     this.rebuild()
   }
 
+  private isEvacuated (state: UpstreamState): boolean {
+    return this.evacuatedDomains.has(state.upstream.failureDomain)
+  }
+
   private rebuild (): void {
-    const states = [...this.states.values()]
+    const states = [...this.states.values()].filter(state => !this.isEvacuated(state))
+    this.available = states
     const limit = this.policy.scanLimitUpstreams * this.subsetFactor
     this.used = chooseSubset(states, limit, this.localVm.failureDomain)
     this.used.sort((one, other) => one.upstream.id < other.upstream.id ? -1 : 1)
@@ -214,7 +279,12 @@
 
 /** Whether the upstream has asked for no new work or is registered as leaving. */
 export function isDraining (state: UpstreamState, now: Milliseconds): boolean {
-  return state.upstream.state === 'leaving' || state.drainingUntil > now
+  return state.isLeaving || state.upstream.state === 'leaving' || state.drainingUntil > now
+}
+
+function markReturned (state: UpstreamState, now: Milliseconds): void {
+  state.rateLimit.assumeCold(now)
+  state.slowStartedAt = now
 }
 
 /** How many numbers n in [from, to) have n modulo `count` equal to `rank`. */
--- a/packages/core/src/core/limits/admission.ts
+++ b/packages/core/src/core/limits/admission.ts
@@ -1,7 +1,8 @@
 import type { Call } from '../../types/dispatch.js'
 import type { ResultCodeName } from '../../types/resultCode.js'
-import { estimateStart, type StartEstimate } from '../capacity/startEstimate.js'
+import { estimateStart, latestStartAt, type StartEstimate } from '../capacity/startEstimate.js'
 import type { RoutingContext } from '../dispatch/routingContext.js'
+import { pausedUntil } from './pauseAdmission.js'
 
 /** A refusal on arrival. */
 export interface Refusal {
@@ -21,9 +22,21 @@
   return code === undefined ? undefined : { code, estimate }
 }
 
-function codeFor (context: RoutingContext, call: Call, { delay, startAt, waitMs, latestStartAt }: StartEstimate): ResultCodeName | undefined {
-  if (startAt > latestStartAt) return delay === 'requestRate' ? 'rateLimited' : delay === 'none' ? undefined : 'deadlineUnreachable'
+/**
+ * The code with which a call that waits, for its first attempt or a retry, is refused because no upstream can take it in
+ * time; undefined if one can.
+ */
+export function checkReachability (context: RoutingContext, call: Call): ResultCodeName | undefined {
+  const { table, clock } = context
+  const now = clock.now()
+  if (!table.hasEligibleUpstreams(now)) return 'noUpstream'
+  const firstEndsAt = pausedUntil(table, now)
+  return firstEndsAt !== undefined && firstEndsAt > latestStartAt(context, call) ? 'rateLimited' : undefined
+}
+
+function codeFor (context: RoutingContext, call: Call, { delay, startAt, waitMs, latestStartAt: latestAt }: StartEstimate): ResultCodeName | undefined {
+  if (startAt > latestAt) return delay === 'requestRate' ? 'rateLimited' : delay === 'none' ? undefined : 'deadlineUnreachable'
   if (delay !== 'queue') return undefined
-  const leftMs = latestStartAt - context.clock.now()
+  const leftMs = latestAt - context.clock.now()
   return waitMs > leftMs * context.policyOf(call.kind).queueWaitShare ? 'deadlineUnreachable' : undefined
 }
--- a/packages/core/src/types/dispatcherSnapshot.ts
+++ b/packages/core/src/types/dispatcherSnapshot.ts
@@ -37,7 +37,13 @@
   readonly reportTrust: number
   /** Requests per second that it takes from all VMs together; undefined if it names no limit. */
   readonly requestsPerSecond: number | undefined
+  /** Whether it is cold and its service limits the requests to cold upstreams. */
+  readonly isCold: boolean
   readonly draining: boolean
+  /** It has said that it is leaving. */
+  readonly leaving: boolean
+  /** Remaining time for which it has asked for no requests; 0 if it has not. */
+  readonly pauseLeftMs: Milliseconds
   readonly ejected: boolean
   readonly attempts: number
   readonly failures: number
@@ -56,4 +62,6 @@
   readonly reservedShare: number
   readonly counters: DispatchCounters
   readonly upstreams: readonly UpstreamSnapshot[]
+  /** Registered upstreams in evacuated failure domains, which are not listed. */
+  readonly evacuatedUpstreams: number
 }
--- a/packages/daemon/src/core/callers/proxy.ts
+++ b/packages/daemon/src/core/callers/proxy.ts
@@ -2,10 +2,13 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import type { Clock, Milliseconds } from '@cowsliplead/core/types/clock.js'
+import type { Customer } from '@cowsliplead/core/types/customer.js'
 import type { Call } from '@cowsliplead/core/types/dispatch.js'
+import type { QuotaDecision } from '@cowsliplead/core/types/quota.js'
 import type { RequestKind } from '@cowsliplead/core/types/requestKind.js'
 import type { ResultCodeName } from '@cowsliplead/core/types/resultCode.js'
 import type { Dialect } from '../../types/dialect.js'
+import type { ResponseSink } from '../../types/responseSink.js'
 import { IDEMPOTENCY_KEY_HEADER, requestHeaders } from '../../utils/headers.js'
 import { CallerSink } from './callerSink.js'
 import { ActiveCall } from './activeCall.js'
@@ -20,10 +23,36 @@
 /** After this time, a caller that a stopping VM has refused may send its request to another one. */
 const STOPPING_RETRY_MS: Milliseconds = 20
 
-/** The service that a request is routed to, and its kind. */
+/** VMs that have lost contact ask others for the age of their keys twice a second. */
+const UNCONFIRMED_RETRY_MS: Milliseconds = 500
+
+/** The service that a request is routed to, its kind and its customer. */
 export interface RequestTarget {
   readonly forwarder: ServiceForwarder
   readonly kind: RequestKind
+  /** Undefined if the request needs no key. */
+  readonly customer?: Customer | undefined
+  /** Whether the headers that identify a customer are removed from the request; the upstream learns its name only. */
+  readonly hidesCredentials: boolean
+}
+
+/** A caller's request that has arrived, here or at the VM that handed it over. */
+export interface ArrivedRequest {
+  readonly request: IncomingMessage
+  readonly response: ServerResponse
+  readonly sink: CallerSink
+  readonly requestId: string
+  readonly arrivedAt: Milliseconds
+  /** Whether another VM has handed it over. */
+  readonly isHandedOver: boolean
+}
+
+/** Hands requests to other VMs while this one reaches no upstream. */
+export interface CallHandover {
+  /** Takes a request over, with its body, before anything else is decided about it; calls `serve` if no VM takes it. */
+  takesArrival (arrived: ArrivedRequest, serve: (body: RequestBody) => void): boolean
+  /** A sink that hands the call over instead of refusing it where that is allowed. */
+  wrapSink (arrived: ArrivedRequest, body: RequestBody, deadlineAt: Milliseconds, call: () => ActiveCall): ResponseSink
 }
 
 /** Options of the proxy. */
@@ -33,6 +62,8 @@
   readonly dialect: Dialect
   /** Returns the target of a request, or a result code if it cannot be routed. */
   readonly route: (request: IncomingMessage) => RequestTarget | ResultCodeName
+  /** Decides whether a customer's request is within its quota, and returns a function that withdraws the request. */
+  readonly admit: (customer: Customer, decide: (decision: QuotaDecision) => void) => () => void
   /** Timeout for receiving a buffered body, and for each pause within a streamed one. */
   readonly bodyTimeoutMs: Milliseconds
   /** Size limit of request bodies; unlimited if absent. */
@@ -42,17 +73,16 @@
   /** Called when a request that has a service is refused without being submitted to it. */
   readonly onRefused: (requestId: string, code: ResultCodeName) => void
   readonly onError: (error: Error) => void
+  /** Undefined where requests are not handed over. */
+  readonly handover?: CallHandover | undefined
 }
 
 /** A caller's request that has been routed. */
-interface RoutedRequest {
-  readonly request: IncomingMessage
-  readonly response: ServerResponse
-  readonly sink: CallerSink
+interface RoutedRequest extends ArrivedRequest {
   readonly target: RequestTarget
-  readonly requestId: string
-  readonly arrivedAt: Milliseconds
   readonly deadlineAt: Milliseconds
+  /** The body, if it was read before the request was routed. */
+  readonly readBefore: RequestBody | undefined
 }
 
 /** Reads callers' requests and submits them to their service. */
@@ -60,9 +90,12 @@
   /** Number of requests whose response has not been fully sent. */
   inFlight = 0
   private readonly pipelines: PipelineCounter
+  private readonly unforwardedHeaders: ReadonlySet<string>
 
   private constructor (private readonly options: ProxyOptions) {
-    this.pipelines = PipelineCounter.create(options.clock)
+    const { clock, dialect } = options
+    this.pipelines = PipelineCounter.create(clock)
+    this.unforwardedHeaders = new Set([...dialect.strippedRequestHeaders, ...dialect.credentialHeaders])
   }
 
   static create (options: ProxyOptions): Proxy {
@@ -74,10 +107,10 @@
     return this.pipelines.idleMs(socket)
   }
 
-  /** Handles one request of a caller. */
-  handle (request: IncomingMessage, response: ServerResponse): void {
-    const { clock, dialect, ids, route } = this.options
-    const arrivedAt = clock.now()
+  /** Handles one request of a caller; `elapsedMs` is the time since it arrived at the VM that has handed it over. */
+  handle (request: IncomingMessage, response: ServerResponse, elapsedMs?: Milliseconds): void {
+    const { clock, dialect, ids, handover } = this.options
+    const arrivedAt = clock.now() - (elapsedMs ?? 0)
     this.inFlight++
     this.pipelines.enter(request.socket)
     response.once('close', () => {
@@ -86,18 +119,54 @@
     })
     const callerId = dialect.callerRequestId(request.headers)
     const requestId = dialect.forwardsCallerIds && callerId !== undefined ? callerId : ids.next(callerId)
-    const sink = this.createSink(request, response, callerId ?? requestId)
+    const isHandedOver = elapsedMs !== undefined
+    const sink = this.createSink(request, response, callerId ?? requestId, isHandedOver)
+    const arrived = { request, response, sink, requestId, arrivedAt, isHandedOver }
+    if (!isHandedOver && handover?.takesArrival(arrived, body => this.serve(arrived, body)) === true) return
+    this.serve(arrived)
+  }
+
+  /** Serves a request through this VM's own upstreams; reads the body unless it is given. */
+  private serve (arrived: ArrivedRequest, readBefore?: RequestBody): void {
+    const { clock, dialect, route } = this.options
+    const { request, sink, requestId, arrivedAt } = arrived
     const target = route(request)
-    if (typeof target === 'string') return sink.sendError(target, '')
+    if (typeof target === 'string') return sink.sendError(target, '', { retryAfterMs: target === 'keysUnconfirmed' ? UNCONFIRMED_RETRY_MS : undefined })
     const timeLeftMs = dialect.timeLeftMs(request.headers) ?? Infinity
-    const deadlineAt = arrivedAt + Math.min(timeLeftMs, target.kind.deadlineMs)
+    // The time left is as of now where another VM has handed the request over, and as of the arrival otherwise.
+    const callerWaitsUntil = (arrived.isHandedOver ? clock.now() : arrivedAt) + timeLeftMs
+    const deadlineAt = Math.min(callerWaitsUntil, arrivedAt + target.kind.deadlineMs)
     if (this.options.stopPlan()?.accepts(arrivedAt, deadlineAt) === false) {
       this.options.onRefused(requestId, 'stopping')
       return sink.sendError('stopping', '', { retryAfterMs: STOPPING_RETRY_MS })
     }
-    const routed = { request, response, sink, target, requestId, arrivedAt, deadlineAt }
+    this.checkQuota({ ...arrived, target, deadlineAt, readBefore })
+  }
+
+  /** The caller may leave before the decision. Until then the body is not read, and Node keeps it. */
+  private checkQuota (routed: RoutedRequest): void {
+    const { target: { customer }, response } = routed
+    if (customer === undefined) return this.read(routed)
+    const withdraw = this.options.admit(customer, decision => this.onQuotaDecision(routed, decision))
+    response.once('close', withdraw)
+  }
+
+  private onQuotaDecision (routed: RoutedRequest, decision: QuotaDecision): void {
+    const { sink, requestId, deadlineAt } = routed
+    if (decision.kind === 'refused') {
+      this.options.onRefused(requestId, 'overQuota')
+      return sink.sendError('overQuota', '', { retryAfterMs: decision.retryAfterMs })
+    }
+    if (this.options.clock.now() < deadlineAt) return this.read(routed)
+    this.options.onRefused(requestId, 'deadlinePassed')
+    sink.sendError('deadlinePassed', '')
+  }
+
+  private read (routed: RoutedRequest): void {
+    const { request, sink, deadlineAt, readBefore } = routed
+    if (readBefore !== undefined) return this.trySubmit(routed, readBefore)
     readBody(request, {
-      timeoutMs: Math.min(this.options.bodyTimeoutMs, Math.max(deadlineAt - arrivedAt, 0)),
+      timeoutMs: Math.min(this.options.bodyTimeoutMs, Math.max(deadlineAt - this.options.clock.now(), 0)),
       maxBytes: this.options.maxBodyBytes?.() ?? Infinity,
       onBody: body => this.trySubmit(routed, body),
       onTimeout: () => sink.sendError('bodyTimeout', ''),
@@ -105,11 +174,11 @@
     })
   }
 
-  private createSink (request: IncomingMessage, response: ServerResponse, requestId: string): CallerSink {
+  private createSink (request: IncomingMessage, response: ServerResponse, requestId: string, isForPeer: boolean): CallerSink {
     const { dialect, stopPlan } = this.options
     // Closing after an earlier response would drop the requests that the caller has pipelined behind it.
     const closesConnection = (): boolean => stopPlan() !== undefined && this.pipelines.isLast(request.socket)
-    return CallerSink.create(response, { requestId, dialect, closesConnection })
+    return CallerSink.create(response, { requestId, dialect, closesConnection, isForPeer })
   }
 
   /** An exception in one call must not end the process and with it all other calls. */
@@ -123,21 +192,31 @@
   }
 
   private submit (routed: RoutedRequest, body: RequestBody): void {
-    const { request, target: { forwarder }, requestId, sink } = routed
-    const { dialect } = this.options
+    const { request, target: { forwarder }, requestId, deadlineAt } = routed
+    const { dialect, handover } = this.options
     const callRequest = {
       method: request.method as string,
       path: request.url as string,
-      headers: requestHeaders(request.rawHeaders, request.headers.connection, dialect.strippedRequestHeaders),
+      headers: this.headersFor(routed),
       body,
       requestId
     }
     const call = this.createCall(routed, body)
-    const activeCall = ActiveCall.create(call, callRequest, sink, dialect)
+    const sink = routed.isHandedOver || handover === undefined ? routed.sink : handover.wrapSink(routed, body, deadlineAt, () => activeCall)
+    const activeCall: ActiveCall = ActiveCall.create(call, callRequest, sink, dialect)
     this.cancelOnClose(routed, () => forwarder.cancel(call.id))
     forwarder.submit(activeCall)
   }
 
+  /** The caller's headers that are forwarded, and the name of its customer. */
+  private headersFor ({ request, target: { customer, hidesCredentials } }: RoutedRequest): string[] {
+    const { dialect } = this.options
+    const dropped = hidesCredentials ? this.unforwardedHeaders : dialect.strippedRequestHeaders
+    const headers = requestHeaders(request.rawHeaders, request.headers.connection, dropped)
+    if (customer !== undefined) headers.push(...dialect.customerHeaders(customer.name))
+    return headers
+  }
+
   private cancelOnClose (routed: RoutedRequest, cancel: () => void): void {
     routed.response.once('close', () => {
       if (!routed.response.writableFinished) cancel()
@@ -145,10 +224,11 @@
   }
 
   private createCall (routed: RoutedRequest, body: RequestBody): Call {
-    const { request, target: { kind }, arrivedAt, deadlineAt } = routed
+    const { request, target: { kind, customer }, arrivedAt, deadlineAt } = routed
     return {
       id: this.options.ids.nextCallId(),
       kind,
+      customer: customer?.name,
       arrivedAt,
       deadlineAt,
       targetAt: kind.targetMs === undefined ? undefined : arrivedAt + kind.targetMs,
--- a/packages/daemon/src/core/control/controlState.ts
+++ b/packages/daemon/src/core/control/controlState.ts
@@ -4,8 +4,10 @@
 import type { Upstream } from '@cowsliplead/core/types/upstream.js'
 import type { UpstreamEntry } from '@cowsliplead/core/types/upstreamEntry.js'
 import type { ControlStore, TableRecord } from '../../types/controlStore.js'
+import type { KeyConfirmation } from '../customers/keyConfirmation.js'
 import type { ChangeFeed } from '../feed/changeFeed.js'
 import type { Logger } from '../operators/logger.js'
+import { EvacuationState } from './evacuationState.js'
 import { logStoreOutages } from './storeOutageLog.js'
 import { TableReader, type TableConsumer } from './tableReader.js'
 
@@ -38,6 +40,8 @@
   readonly config: RouteConfig | undefined
   setConfig (config: RouteConfig): void
   setUpstreams (upstreams: readonly Upstream[]): void
+  /** Sets the failure domains whose upstreams must get no new work. */
+  setEvacuatedDomains (domains: ReadonlySet<string>): void
 }
 
 /** Options of the control state. */
@@ -48,6 +52,8 @@
   readonly logger: Logger
   readonly renewalMs: Milliseconds
   readonly feed: ChangeFeed
+  /** Undefined if the age of keys is not limited. */
+  readonly keyConfirmation?: KeyConfirmation | undefined
   /** Called after a configuration has come into force. */
   readonly onConfig: () => void
 }
@@ -55,6 +61,7 @@
 /** This VM's copy of the configuration and of the upstreams, kept up to date from the control store. */
 export class ControlState {
   private readonly directory: UpstreamDirectory
+  readonly evacuations: EvacuationState
   private readonly configReader: TableReader
   private readonly upstreamReader: TableReader
   /** Records of the configuration that could not be used at all. */
@@ -63,11 +70,15 @@
   private expiryTimer: NodeJS.Timeout | undefined
 
   private constructor (private readonly options: ControlStateOptions) {
-    const { store, clock, renewalMs, feed } = options
+    const { store, clock, renewalMs, feed, keyConfirmation } = options
     this.directory = UpstreamDirectory.create({ renewalMs })
+    this.evacuations = EvacuationState.create({
+      store, clock, logger: options.logger, target: options.services, upstreams: () => this.hasReadUpstreams ? this.directory.list() : undefined
+    })
     this.configReader = TableReader.create({
-      store, clock, feed, table: 'configuration', consumer: this.createConfigConsumer(), waitMs: READ_WAIT_MS, pauseMs: 0, maxFeedAgeMs: MAX_FEED_AGE_MS, startsFromCopy: true
+      store, clock, feed, table: 'configuration', consumer: this.createConfigConsumer(), waitMs: READ_WAIT_MS, pauseMs: 0, maxFeedAgeMs: MAX_FEED_AGE_MS, startsFromCopy: true, confirmation: keyConfirmation
     })
+    if (keyConfirmation !== undefined) keyConfirmation.position = () => this.configReader.position
     this.upstreamReader = TableReader.create({
       store, clock, feed, table: 'upstreams', consumer: this.createUpstreamConsumer(), waitMs: READ_WAIT_MS, pauseMs: UPSTREAMS_PAUSE_MS, maxFeedAgeMs: MAX_FEED_AGE_MS, startsFromCopy: true
     })
@@ -85,6 +96,7 @@
   /** Cancels the timer that removes expired entries. */
   close (): void {
     clearTimeout(this.expiryTimer)
+    this.evacuations.close()
   }
 
   /** Reasons why requests cannot be served yet; empty once all state has been read. */
@@ -107,17 +119,32 @@
       configVersion: this.options.services.config?.version,
       configAgeMs: this.configReader.ageMs,
       upstreamsAgeMs: this.upstreamReader.ageMs,
+      evacuations: this.evacuations.describe(),
       upstreams: this.directory.list()
     }
   }
 
   private createConfigConsumer (): TableConsumer {
     const applyRecords = (records: readonly TableRecord[]): void => records.forEach(record => this.applyConfigRecord(record))
+    const outageLog = logStoreOutages(this.options.logger, 'configuration')
     return {
-      ...logStoreOutages(this.options.logger, 'configuration'),
+      ...outageLog,
       isOutdated: record => this.isOutdatedConfig(record),
-      onSnapshot: applyRecords,
-      onChanges: applyRecords
+      onRestore: restore => {
+        outageLog.onRestore(restore)
+        this.evacuations.onStoreRestored()
+      },
+      heldRecords: () => this.evacuations.heldRecords(),
+      onHeldRecords: held => this.evacuations.onHeldRecords(held),
+      // Evacuations first: the configuration lets calls begin.
+      onSnapshot: records => {
+        this.evacuations.onSnapshot(records)
+        applyRecords(records)
+      },
+      onChanges: records => {
+        this.evacuations.onChanges(records)
+        applyRecords(records)
+      }
     }
   }
 
@@ -192,6 +219,7 @@
     const removed = this.directory.replaceAll(entries, clock.now())
     this.hasReadUpstreams = true
     logger.info('upstreams read', { count: entries.length, removed })
+    this.evacuations.logUnknownDomains()
     this.updateUpstreams()
   }
 
@@ -201,7 +229,7 @@
     const entry = record.value === undefined ? undefined : store.decodeUpstream(record)
     const change = entry === undefined ? this.directory.remove(record.key, now) : this.directory.put(entry, now)
     if (change !== 'renewed' && change !== 'ignored') {
-      logger.info('upstream changed', { upstream: record.key, change, service: entry?.service, incarnation: entry?.incarnation })
+      logger.info('upstream changed', { upstream: record.key, change, service: entry?.service, incarnation: entry?.incarnation, warmupLeftMs: entry?.warmupLeftMs || undefined })
     }
     return change
   }
--- a/packages/daemon/src/core/gateway/callLog.ts
+++ b/packages/daemon/src/core/gateway/callLog.ts
@@ -1,6 +1,6 @@
 import type { Histogram } from 'prom-client'
 import type { Milliseconds } from '@cowsliplead/core/types/clock.js'
-import type { Attempt, SelectionSnapshot, AttemptEnd, CallResult, CancelReason, RateLimitChange, ReservationChange, ResultDiagnostics } from '@cowsliplead/core/types/dispatch.js'
+import type { Attempt, SelectionSnapshot, AttemptEnd, CallResult, CancelReason, RateLimitChange, ReservationChange, ResultDiagnostics, UpstreamSignal } from '@cowsliplead/core/types/dispatch.js'
 import type { ActiveAttempt } from '../upstreams/activeAttempt.js'
 import type { ActiveCall } from '../callers/activeCall.js'
 import type { CallObserver } from '../upstreams/serviceForwarder.js'
@@ -19,9 +19,9 @@
   }
 
   onAttempt (call: ActiveCall, { id, upstreamId, purpose, deadlineAt, selection }: Attempt): void {
-    const { kind, arrivedAt } = call.call
+    const { kind, arrivedAt, customer } = call.call
     this.eventLog.logRequest('attempt', {
-      request: call.requestId, service: this.service, route: kind.name, attempt: id, upstream: upstreamId, purpose,
+      request: call.requestId, service: this.service, route: kind.name, customer, attempt: id, upstream: upstreamId, purpose,
       timeLimitMs: roundToTenth(deadlineAt - arrivedAt), ...roundFields(selection)
     })
   }
@@ -55,11 +55,16 @@
     this.eventLog.logger.info(message, { service: this.service, reservedShare: Math.round(reservedShare * 100) / 100, queued: queuedByKind })
   }
 
+  onUpstreamSignal ({ kind, upstreamId, ...fields }: UpstreamSignal): void {
+    const message = kind === 'leaving' ? 'upstream says that it is leaving' : 'upstream asks for a pause'
+    this.eventLog.logger.info(message, { service: this.service, upstream: upstreamId, ...fields })
+  }
+
   onResult (call: ActiveCall, result: CallResult, tookMs: Milliseconds, waitingCalls: number, diagnostics?: ResultDiagnostics): void {
     const outcome = 'code' in result ? result.code : result.kind
     this.latencyHistogram.observe({ service: this.service, result: result.kind }, tookMs / 1000)
     this.eventLog.logRequest('result', {
-      request: call.requestId, service: this.service, route: call.call.kind.name, outcome, tookMs: roundToTenth(tookMs), waitingCalls,
+      request: call.requestId, service: this.service, route: call.call.kind.name, customer: call.call.customer, outcome, tookMs: roundToTenth(tookMs), waitingCalls,
       attempt: result.kind === 'delivered' ? result.attemptId : undefined,
       retryAfterMs: 'retryAfterMs' in result ? roundToTenth(result.retryAfterMs ?? 0) : undefined,
       ...(diagnostics === undefined ? {} : roundFields(diagnostics))
--- a/packages/daemon/src/core/gateway/gateway.ts
+++ b/packages/daemon/src/core/gateway/gateway.ts
@@ -16,11 +16,15 @@
 import { FleetTable } from '../control/fleetTable.js'
 import { Fleet } from '../feed/fleet.js'
 import { MEMBERS_GROUP } from '../feed/membership.js'
+import { Handover } from '../handover/handover.js'
 import { PeerServer } from '../peers/peerServer.js'
 import { PolicyPublisher } from '../control/policyPublisher.js'
+import { Authenticator } from '../customers/authenticator.js'
+import { KeyConfirmation } from '../customers/keyConfirmation.js'
 import { PolicyRestorer } from '../control/policyRestorer.js'
 import { PolicyState, POLICY_KEY } from '../control/policyState.js'
 import { SharedSuspects, SUSPECTS_GROUP } from '../control/sharedSuspects.js'
+import { Quotas } from '../quotas/quotas.js'
 import type { TableReader } from '../control/tableReader.js'
 import { Metrics } from '../operators/metrics.js'
 import { EventLoopMonitor } from '../supervision/eventLoopMonitor.js'
@@ -68,6 +72,9 @@
   private readonly random = SeededRandom.create(process.pid ^ Date.now())
   private readonly tickTimer = TickTimer.create(this.clock)
   private readonly eventLog: EventLog
+  /** Undefined if the age of keys is not limited. */
+  private readonly keyConfirmation: KeyConfirmation | undefined
+  private readonly authenticator: Authenticator
   private readonly services: GatewayServices
   private readonly controlState: ControlState
   private readonly policyState: PolicyState
@@ -77,6 +84,9 @@
   private readonly fleet: Fleet
   /** Undefined if this VM takes no requests of the others. */
   private readonly peerServer: PeerServer | undefined
+  private readonly quotas: Quotas
+  /** Undefined if this VM takes no requests of the others. */
+  private readonly handover: Handover | undefined
   private readonly proxy: Proxy
   private readonly callerServer: CallerServer
   private readonly readinessServer: ReadinessServer
@@ -95,8 +105,11 @@
     const { store } = dependencies
     this.eventLog = EventLog.create(settings.vmId, clock, dependencies.output)
     const { logger } = this.eventLog
+    this.keyConfirmation = KeyConfirmation.create(settings.maxKeyAgeMs, logger)
+    this.authenticator = Authenticator.create(dependencies.dialect, this.keyConfirmation?.age)
     const metrics = this.createMetrics()
     const members = FleetMembers.create(settings.vmId)
+    this.handover = this.createHandover(members)
     this.services = this.createServices(metrics, members)
     this.fleet = Fleet.create({
       vmId: settings.vmId,
@@ -107,11 +120,16 @@
       store,
       clock,
       logger,
-      onSizeChange: vms => this.onFleetSizeChange(vms)
+      onSizeChange: vms => {
+        this.quotas.onMembersChange()
+        this.onFleetSizeChange(vms)
+      },
+      confirmations: this.keyConfirmation?.exchange,
+      onLeaving: notice => this.services.markLeaving(notice)
     })
     const { feed, membership } = this.fleet
     this.controlState = ControlState.create({
-      store, clock, services: this.services, logger, feed, renewalMs: settings.renewalMs, onConfig: () => this.callerServer.applyLimits()
+      store, clock, services: this.services, logger, feed, keyConfirmation: this.keyConfirmation, renewalMs: settings.renewalMs, onConfig: () => this.callerServer.applyLimits()
     })
     this.policyRestorer = this.createPolicyRestorer()
     this.policyState = PolicyState.create({
@@ -125,6 +143,7 @@
       feed,
       consumers: { [POLICY_KEY]: this.policyState, [SUSPECTS_GROUP]: this.sharedSuspects, [MEMBERS_GROUP]: membership }
     })
+    this.quotas = Quotas.create({ settings, members, clock, random: this.random, logger, config: () => this.services.config })
     this.proxy = this.createProxy()
     this.peerServer = this.createPeerServer()
     this.callerServer = CallerServer.create({
@@ -155,6 +174,7 @@
     this.progressTimer = setInterval(() => services.reportProgressOfWaiting(), PROGRESS_REPORT_INTERVAL_MS)
     for (const component of this.components()) await this.supervisor.add(component)
     this.fleet.start()
+    this.handover?.start()
     this.eventLoopMonitor.start()
     logger.info('started', { vm: settings.vmId, failureDomain: settings.failureDomain })
   }
@@ -178,7 +198,7 @@
     this.eventLog.logger.info('stopping', { inFlight: this.proxy.inFlight })
     await sleep(plan.listensUntil - this.clock.now())
     this.callerServer.stopListening()
-    while (!this.callerServer.isClosed && this.clock.now() < plan.exitsAt) {
+    while ((!this.callerServer.isClosed || this.proxy.inFlight > 0) && this.clock.now() < plan.exitsAt) {
       this.callerServer.closeIdleConnections()
       await sleep(DRAIN_POLL_MS)
     }
@@ -193,6 +213,7 @@
     if (this.stopPlan !== undefined) return ['stopping']
     const reasons = this.supervisor.failingComponents().map(name => `${name} fails repeatedly`)
     reasons.push(...this.controlState.missing())
+    reasons.push(...this.keyConfirmation?.missing() ?? [])
     const isWaitingForPolicy = this.clock.now() < this.startedAt + POLICY_WAIT_MS
     if (isWaitingForPolicy && !this.fleetTable.isLoaded) reasons.push('the policy is not known')
     return reasons
@@ -210,7 +231,9 @@
       policyRevision: this.policyState.revision,
       configVersion: this.services.config?.version,
       rejectedEntries: this.services.config?.rejectedEntries?.map(entry => ({ ...entry })),
+      evacuatedDomains: this.controlState.evacuations.domains(),
       storeAgeMs: this.controlState.storeAgeMs,
+      keyAgeMs: this.keyConfirmation?.roundedAgeMs,
       callsInFlight: this.proxy.inFlight,
       components: this.supervisor.componentStates()
     }
@@ -236,6 +259,7 @@
   private async releaseResources (): Promise<void> {
     clearInterval(this.progressTimer)
     this.eventLoopMonitor.stop()
+    this.handover?.stop()
     await this.supervisor.stop()
     this.controlState.close()
     this.policyRestorer.close()
@@ -243,6 +267,7 @@
     this.sharedSuspects.close()
     this.dependencies.store.close()
     this.services.close()
+    this.quotas.close()
     this.tickTimer.stop()
   }
 
@@ -254,13 +279,30 @@
       random: this.random,
       tickTimer,
       dialect: this.dependencies.dialect,
+      authenticator: this.authenticator,
       connectionSettings: { connectTimeoutMs: CONNECT_TIMEOUT_MS },
       vmId: settings.vmId,
       failureDomain: settings.failureDomain,
       policy: routingPolicyOf(settings, INITIAL_FLEET_SIZE),
       rateDivision: FleetRateDivision.create(members, settings.vmId),
       observerOf: service => CallLog.create(service, eventLog, latencyHistogram),
-      onSuspects: marks => this.sharedSuspects.publish(marks)
+      onSuspects: marks => this.sharedSuspects.publish(marks),
+      onLeaving: (upstreamId, incarnation) => this.fleet.leaving.add(upstreamId, incarnation),
+      ...(this.handover === undefined ? {} : { contacts: this.handover.reachability })
+    })
+  }
+
+  private createHandover (members: FleetMembers): Handover | undefined {
+    const { settings, clock, random, eventLog, dependencies: { dialect } } = this
+    const { vmId, failureDomain, bodyTimeoutMs } = settings
+    if (settings.peerAddress === undefined) return undefined
+    return Handover.create({
+      vmId, failureDomain, bodyTimeoutMs, members, clock, random, dialect, eventLog,
+      maxBodyBytes: () => this.services.config?.limits.maxBodyBytes ?? Infinity,
+      forwarders: () => this.services.forwarders(),
+      inFlight: () => this.proxy.inFlight,
+      stopPlan: () => this.stopPlan,
+      serve: (request, response, elapsedMs) => this.proxy.handle(request, response, elapsedMs)
     })
   }
 
@@ -276,9 +318,11 @@
       ids: RequestIds.create(this.settings.vmId),
       dialect: this.dependencies.dialect,
       route: request => this.services.route(request),
+      admit: (customer, decide) => this.quotas.admit(customer, decide),
       bodyTimeoutMs: this.settings.bodyTimeoutMs,
       maxBodyBytes: () => this.services.config?.limits.maxBodyBytes ?? Infinity,
       stopPlan: () => this.stopPlan,
+      handover: this.handover,
       onRefused: (request, outcome) => this.eventLog.logRequest('result', { request, outcome }),
       onError: error => this.eventLog.logger.error('internal error while handling a request', { error: error.stack })
     })
@@ -291,7 +335,10 @@
       ? undefined
       : PeerServer.create({
           address: peerAddress,
-          handlers: {},
+          handlers: {
+            quota: this.quotas.handler,
+            handover: (request, response) => this.handover?.handlePeer(request, response)
+          },
           onError: error => logger.error('internal error while handling a request of another VM', { error: error.stack })
         })
   }
@@ -312,12 +359,17 @@
       configVersion: () => this.services.config?.version ?? 0,
       rejectedEntries: () => this.services.config?.rejectedEntries?.length ?? 0,
       unreadableConfigs: () => this.controlState.unreadableConfigs,
+      evacuatedDomains: () => this.controlState.evacuations.count,
       policyRevision: () => this.policyState.revision,
+      keyAgeMs: () => this.keyConfirmation?.roundedAgeMs,
+      keyRefusals: () => this.authenticator.refusals,
       isReady: () => this.unreadyReasons().length === 0,
       callsInFlight: () => this.proxy.inFlight,
       logLinesLost: () => this.eventLog.omitted + this.eventLog.dropped,
       stallCount: () => this.stallCount,
       fleet: () => this.fleet.snapshot(),
+      quotas: () => this.quotas.counters,
+      handover: () => this.handover?.snapshot(),
       storeReads: () => this.tableReaders().map(({ table, reads }) => ({ table, reads })),
       components: () => this.supervisor.componentStates()
     })
@@ -334,6 +386,8 @@
       ...this.status(),
       control: this.controlState.describe(),
       fleet: this.fleet.snapshot(),
+      quotas: this.quotas.describe(),
+      handover: this.handover?.snapshot(),
       policy: this.services.policyDocument,
       services: Object.fromEntries(this.services.forwarders().map(forwarder => [forwarder.service, forwarder.describe()]))
     }
--- a/packages/daemon/src/core/gateway/gatewayServices.ts
+++ b/packages/daemon/src/core/gateway/gatewayServices.ts
@@ -1,23 +1,25 @@
 import type { IncomingMessage } from 'node:http'
 import { capPolicies, resolvePolicy, resolvePolicyExceptions, type ServicePolicies } from '@cowsliplead/core/core/configuration/effectivePolicy.js'
 import { Dispatcher } from '@cowsliplead/core/core/dispatch/dispatcher.js'
+import type { UpstreamReachability } from '@cowsliplead/core/core/handover/upstreamReachability.js'
 import { ExpectedDelayPicker } from '@cowsliplead/core/core/routing/expectedDelayPicker.js'
 import { RouteTable } from '@cowsliplead/core/core/routing/routeTable.js'
-import { requestKindOf } from '@cowsliplead/core/core/routing/requestKinds.js'
+import { RouteKinds } from '@cowsliplead/core/core/routing/routeKinds.js'
 import type { RateDivision } from '@cowsliplead/core/core/limits/rateDivision.js'
 import type { Clock } from '@cowsliplead/core/types/clock.js'
 import type { RandomSource } from '@cowsliplead/core/types/randomSource.js'
-import type { RequestKind } from '@cowsliplead/core/types/requestKind.js'
 import type { ResultCodeName } from '@cowsliplead/core/types/resultCode.js'
 import { policyDocumentSchema, type PolicyDocument } from '@cowsliplead/core/types/policyDocument.js'
 import type { RoutingPolicy } from '@cowsliplead/core/types/routingPolicy.js'
-import type { Route, RouteConfig, ServiceTarget } from '@cowsliplead/core/types/routes.js'
+import type { RouteConfig, ServiceTarget } from '@cowsliplead/core/types/routes.js'
 import type { SuspectMark } from '@cowsliplead/core/types/suspectMark.js'
 import type { Upstream } from '@cowsliplead/core/types/upstream.js'
 import type { Dialect } from '../../types/dialect.js'
+import type { LeavingNotice } from '../../types/feedMessage.js'
 import type { RequestTarget } from '../callers/proxy.js'
+import type { Authenticator } from '../customers/authenticator.js'
 import type { ControlTarget } from '../control/controlState.js'
-import { ServiceForwarder, type CallObserver } from '../upstreams/serviceForwarder.js'
+import { ServiceForwarder, type CallObserver, type ContactObserver } from '../upstreams/serviceForwarder.js'
 import type { TickTimer } from '../supervision/tickTimer.js'
 import { UpstreamConnections, type ConnectionSettings } from '../upstreams/upstreamConnections.js'
 
@@ -29,6 +31,7 @@
   readonly random: RandomSource
   readonly tickTimer: TickTimer
   readonly dialect: Dialect
+  readonly authenticator: Authenticator
   readonly connectionSettings: ConnectionSettings
   readonly vmId: string
   readonly failureDomain: string
@@ -36,17 +39,22 @@
   readonly rateDivision: RateDivision
   /** Returns the observer of the decisions about calls of a service. */
   readonly observerOf: (service: string) => CallObserver
+  /** Notified of what reaches upstreams, and of the registered ones. */
+  readonly contacts?: ContactObserver & Pick<UpstreamReachability, 'setUpstreams'>
   /** Called when requests are marked as suspect because they crashed an upstream. */
   readonly onSuspects: (marks: readonly SuspectMark[]) => void
+  /** Called when an upstream says that it is leaving. */
+  readonly onLeaving: (upstreamId: string, incarnation: number | undefined) => void
 }
 
 /** One forwarder for each service of the configuration in force, and the route table that selects among them. */
 export class GatewayServices implements ControlTarget {
   private routeTable: RouteTable | undefined
-  private readonly kindsByRoute = new Map<Route, RequestKind>()
+  private routeKinds = RouteKinds.create()
   private readonly forwardersByService = new Map<string, ServiceForwarder>()
   /** Undefined until read: if the first list were empty, the actual upstreams would count as newly started. */
   private upstreams: readonly Upstream[] | undefined
+  private evacuatedDomains: ReadonlySet<string> = new Set()
   private document = EMPTY_DOCUMENT
   /** Entry VMs known to this one, itself included. */
   private entryVmCount = 1
@@ -75,8 +83,8 @@
   /** Applies a new configuration. */
   setConfig (config: RouteConfig): void {
     this.routeTable = RouteTable.create(config, this.routeTable)
-    this.kindsByRoute.clear()
-    for (const route of config.routes) this.kindsByRoute.set(route, requestKindOf(route))
+    this.routeKinds = RouteKinds.create()
+    this.options.authenticator.setConfig(config)
     for (const service of this.forwardersByService.keys()) {
       if (!config.services.has(service)) this.retire(service)
     }
@@ -86,10 +94,17 @@
   /** Applies a new list of the registered upstreams of all services. */
   setUpstreams (upstreams: readonly Upstream[]): void {
     this.upstreams = upstreams
+    this.options.contacts?.setUpstreams(upstreams)
     for (const forwarder of this.forwardersByService.values()) this.updateUpstreams(forwarder)
     this.closeRetired()
   }
 
+  /** Applies a new set of evacuated failure domains, also to the calls of services that were removed. */
+  setEvacuatedDomains (domains: ReadonlySet<string>): void {
+    this.evacuatedDomains = domains
+    for (const forwarder of [...this.forwardersByService.values(), ...this.retired]) forwarder.setEvacuatedDomains(domains)
+  }
+
   /** Applies a changed routing policy and number of entry VMs. */
   setPolicy (policy: RoutingPolicy, entryVmCount: number): void {
     this.policy = policy
@@ -108,16 +123,24 @@
     for (const forwarder of this.forwardersByService.values()) forwarder.dispatcher.importSuspects(marks)
   }
 
-  /** Returns the forwarder and kind of a caller's request, or the result code with which it is refused. */
+  /** Stops new work for an upstream that has told another VM that it is leaving. */
+  markLeaving ({ upstreamId, incarnation }: LeavingNotice): void {
+    for (const forwarder of [...this.forwardersByService.values(), ...this.retired]) forwarder.markLeaving(upstreamId, incarnation)
+  }
+
+  /** Returns the forwarder, kind and customer of a caller's request, or the result code with which it is refused. */
   route (request: IncomingMessage): RequestTarget | ResultCodeName {
     if (this.routeTable === undefined) return 'notReady'
     if (headBytesOf(request) > this.routeTable.config.limits.maxHeaderBytes) return 'headTooLarge'
     const match = this.routeTable.match(request.headers.host ?? '', request.url as string)
     if (match === undefined) return 'noService'
     if (match.service === undefined) return 'routeUnavailable'
+    const { authenticator } = this.options
+    const customer = authenticator.identify(request, match.route)
+    if (typeof customer === 'string') return customer
     const forwarder = this.forwardersByService.get(match.service)
     if (forwarder === undefined) return 'noUpstream'
-    return { forwarder, kind: this.kindsByRoute.get(match.route) as RequestKind }
+    return { forwarder, kind: this.routeKinds.kindOf(match.route, customer?.priority), customer, hidesCredentials: authenticator.isActive }
   }
 
   /** Reports progress for attempts that wait for slow callers, so that they are not treated as stalled. */
@@ -140,6 +163,7 @@
     this.forwardersByService.set(target.name, forwarder)
     forwarder.setPolicy(policy, exceptions)
     forwarder.setHealthPath(target.healthPath)
+    forwarder.dispatcher.setWarmup(target.warmup)
     this.updateUpstreams(forwarder)
   }
 
@@ -158,18 +182,22 @@
 
   private createForwarder ({ name }: ServiceTarget, policy: RoutingPolicy): ServiceForwarder {
     const { clock, random, tickTimer, dialect, connectionSettings, vmId, failureDomain, rateDivision } = this.options
-    return ServiceForwarder.create({
+    const forwarder = ServiceForwarder.create({
       service: name,
       clock,
       tickTimer,
       dialect,
       connections: UpstreamConnections.create(clock, connectionSettings),
       onSuspects: this.options.onSuspects,
+      onLeaving: this.options.onLeaving,
+      contacts: this.options.contacts,
       observer: this.options.observerOf(name),
       createDispatcher: port => Dispatcher.create({
         service: name, vmId, clock, random, port, picker: ExpectedDelayPicker.create(policy), policy, failureDomain, rateDivision
       })
     })
+    forwarder.setEvacuatedDomains(this.evacuatedDomains)
+    return forwarder
   }
 
   private updateUpstreams (forwarder: ServiceForwarder): void {
--- a/packages/daemon/src/core/operators/metrics.ts
+++ b/packages/daemon/src/core/operators/metrics.ts
@@ -1,4 +1,6 @@
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
+import type { QuotaCounters } from '@cowsliplead/core/core/quotas/leaseAccount.js'
+import type { HandoverSnapshot } from '../handover/handover.js'
 import type { FleetSnapshot } from '../feed/fleet.js'
 import type { ServiceForwarder } from '../upstreams/serviceForwarder.js'
 import type { ServiceCounters } from '../upstreams/serviceCounters.js'
@@ -13,7 +15,13 @@
   rejectedEntries (): number
   /** Configurations since the start that could not be used at all. */
   unreadableConfigs (): number
+  /** Greatest possible age of the keys in force, in milliseconds; undefined if it is not limited or not known. */
+  keyAgeMs (): number | undefined
+  /** Requests since the start that were refused for their key, by result code. */
+  keyRefusals (): ReadonlyMap<string, number>
   isReady (): boolean
+  /** Number of evacuated failure domains. */
+  evacuatedDomains (): number
   policyRevision (): number
   /** Event-loop stalls since the start. */
   stallCount (): number
@@ -21,6 +29,9 @@
   logLinesLost (): number
   callsInFlight (): number
   fleet (): FleetSnapshot
+  quotas (): QuotaCounters
+  /** Undefined where calls are not handed over. */
+  handover (): HandoverSnapshot | undefined
   /** Reads of the store since the start, by table. */
   storeReads (): ReadonlyArray<{ readonly table: string, readonly reads: number }>
   components (): readonly ComponentState[]
@@ -48,6 +59,11 @@
     this.addServiceGauge('cowsliplead_ejected_upstreams', 'Ejected upstreams, which receive trial calls only', forwarder => countUpstreams(forwarder, 'ejected'))
     this.addServiceGauge('cowsliplead_draining_upstreams', 'Draining upstreams, which receive no new calls', forwarder => countUpstreams(forwarder, 'draining'))
     this.addServiceGauge('cowsliplead_rate_limited_upstreams', 'Upstreams that name a request rate', countRateLimited)
+    this.addServiceGauge('cowsliplead_cold_upstreams', 'Upstreams that are cold and get a limited number of requests', forwarder => countUpstreams(forwarder, 'isCold'))
+    this.addServiceGauge('cowsliplead_leaving_upstreams', 'Upstreams in use that have said that they are leaving', forwarder => countUpstreams(forwarder, 'leaving'))
+    this.addServiceGauge('cowsliplead_paused_upstreams', 'Upstreams in use that have asked for a pause', countPaused)
+    this.addServiceGauge('cowsliplead_evacuated_upstreams', 'Registered upstreams in evacuated failure domains', forwarder => forwarder.dispatcher.snapshot().evacuatedUpstreams)
+    this.addGauge('cowsliplead_evacuated_domains', 'Evacuated failure domains', () => source.evacuatedDomains())
     this.addGauge('cowsliplead_config_revision', 'Version of the configuration in force', () => source.configVersion())
     this.addGauge('cowsliplead_rejected_config_entries', 'Entries of the configuration in force that cannot be used', () => source.rejectedEntries())
     this.addGauge('cowsliplead_unreadable_configs', 'Configurations since the start that could not be used at all', () => source.unreadableConfigs())
@@ -59,6 +75,15 @@
     this.addGauge('cowsliplead_fleet_vms', 'Known entry VMs, this one included', () => source.fleet().vms)
     this.addGauge('cowsliplead_followed_vms', 'Entry VMs that this one follows for changes of the control store', () => source.fleet().follows.length)
     this.addGauge('cowsliplead_followers', 'Entry VMs that follow this one for changes of the control store', () => source.fleet().followers)
+    this.addGauge('cowsliplead_key_age_seconds', 'Greatest possible age of the keys in force; NaN where it is not limited or not known', () => (source.keyAgeMs() ?? NaN) / 1000)
+    this.addKeyRefusals(() => source.keyRefusals())
+    this.addGauge('cowsliplead_over_quota_requests', 'Requests since the start that were refused because of a quota', () => source.quotas().refused)
+    this.addGauge('cowsliplead_quota_allowance_requests', 'Requests since the start that ran by the allowance of a VM without contact to the holders of a quota', () => source.quotas().allowanceUsed)
+    this.addOutcomes('cowsliplead_quota_leases_total', 'Requests for tokens of customers, by outcome', () => source.quotas().leases)
+    this.addGauge('cowsliplead_cut_off', '1 if this VM reaches no upstream, 0 otherwise', () => source.handover()?.reachability.state === 'cutOff' ? 1 : 0)
+    this.addGauge('cowsliplead_cuts', 'Times since the start at which this VM reached no upstream', () => source.handover()?.cuts ?? 0)
+    this.addOutcomes('cowsliplead_handed_over_calls_total', 'Calls handed to other VMs, by outcome', () => source.handover()?.sent.outcomes)
+    this.addOutcomes('cowsliplead_taken_over_calls_total', 'Calls of other VMs, by outcome', () => source.handover()?.taken.outcomes)
     this.addStoreReads(() => source.storeReads())
     this.addRestarts(() => source.components())
   }
@@ -124,6 +149,32 @@
     })
   }
 
+  private addKeyRefusals (keyRefusals: MetricsSource['keyRefusals']): void {
+    this.registry.registerMetric(new Counter({
+      name: 'cowsliplead_key_refusals_total',
+      help: 'Requests refused for their key, by result',
+      labelNames: ['result'],
+      registers: [],
+      collect () {
+        this.reset()
+        for (const [result, count] of keyRefusals()) this.inc({ result }, count)
+      }
+    }))
+  }
+
+  private addOutcomes (name: string, help: string, read: () => Readonly<Record<string, number>> | undefined): void {
+    this.registry.registerMetric(new Counter({
+      name,
+      help,
+      labelNames: ['outcome'],
+      registers: [],
+      collect () {
+        this.reset()
+        for (const [outcome, count] of Object.entries(read() ?? {})) this.inc({ outcome }, count)
+      }
+    }))
+  }
+
   private addStoreReads (storeReads: MetricsSource['storeReads']): void {
     this.registry.registerMetric(new Counter({
       name: 'cowsliplead_store_reads_total',
@@ -151,10 +202,14 @@
   }
 }
 
-function countUpstreams (forwarder: ServiceForwarder, state: 'ejected' | 'draining'): number {
+function countUpstreams (forwarder: ServiceForwarder, state: 'ejected' | 'draining' | 'isCold' | 'leaving'): number {
   return forwarder.dispatcher.snapshot().upstreams.filter(upstream => upstream[state]).length
 }
 
 function countRateLimited (forwarder: ServiceForwarder): number {
   return forwarder.dispatcher.snapshot().upstreams.filter(({ requestsPerSecond }) => requestsPerSecond !== undefined).length
 }
+
+function countPaused (forwarder: ServiceForwarder): number {
+  return forwarder.dispatcher.snapshot().upstreams.filter(({ pauseLeftMs }) => pauseLeftMs > 0).length
+}
--- a/packages/daemon/src/core/productDialect.ts
+++ b/packages/daemon/src/core/productDialect.ts
@@ -1,7 +1,7 @@
 import type { IncomingHttpHeaders } from 'node:http'
 import type { Milliseconds } from '@cowsliplead/core/types/clock.js'
 import type { AttemptHeaders, AttemptMetadata, Dialect, ResponseMetadata } from '../types/dialect.js'
-import { AUTHORIZATION_HEADER, bearerToken, CODE_HEADER, CUSTOMER_HEADER, DEADLINE_HEADER, findHeader, keepAliveMs, LOAD_REPORT_HEADER, NOT_RUN_HEADER, REQUEST_ID_HEADER, REQUEST_RATE_HEADER, TIMEOUT_HEADER } from '../utils/headers.js'
+import { AUTHORIZATION_HEADER, bearerToken, CODE_HEADER, CUSTOMER_HEADER, DEADLINE_HEADER, findHeader, headerValue, keepAliveMs, LOAD_REPORT_HEADER, NOT_RUN_HEADER, REQUEST_ID_HEADER, REQUEST_RATE_HEADER, TIMEOUT_HEADER } from '../utils/headers.js'
 import { parseLoadReport } from '../utils/loadReport.js'
 import { parseRateNotice } from '../utils/rateNotice.js'
 
@@ -39,7 +39,11 @@
   }
 
   customerHeaders (name: string): readonly string[] {
-    return [CUSTOMER_HEADER, name]
+    return [CUSTOMER_HEADER, headerValue(name)]
+  }
+
+  timeLeftHeaders (timeLeftMs: Milliseconds): readonly string[] {
+    return [DEADLINE_HEADER, String(Math.floor(this.wallClock() + timeLeftMs)), TIMEOUT_HEADER, String(Math.floor(timeLeftMs))]
   }
 
   attemptHeaders ({ requestId, attemptNumber, deadlineAt, now }: AttemptMetadata): AttemptHeaders {
@@ -47,8 +51,7 @@
     const timeLeftMs = Math.max(deadlineAt - now, 0)
     const headers = [
       REQUEST_ID_HEADER, echoedId,
-      DEADLINE_HEADER, String(Math.floor(this.wallClock() + timeLeftMs)),
-      TIMEOUT_HEADER, String(Math.floor(timeLeftMs))
+      ...this.timeLeftHeaders(timeLeftMs)
     ]
     return { headers, echoedId }
   }
--- a/packages/daemon/src/core/upstreams/serviceForwarder.ts
+++ b/packages/daemon/src/core/upstreams/serviceForwarder.ts
@@ -1,8 +1,9 @@
-import type { Attempt, AttemptEnd, CallResult, CancelReason, DispatchPort, RateLimitChange, ReservationChange, ResultDiagnostics } from '@cowsliplead/core/types/dispatch.js'
+import type { Attempt, AttemptEnd, CallResult, CancelReason, DispatchPort, RateLimitChange, ReservationChange, ResultDiagnostics, UpstreamSignal } from '@cowsliplead/core/types/dispatch.js'
 import type { Clock, Milliseconds } from '@cowsliplead/core/types/clock.js'
 import type { SuspectMark } from '@cowsliplead/core/types/suspectMark.js'
 import type { PolicyExceptions, RoutingPolicy } from '@cowsliplead/core/types/routingPolicy.js'
-import type { RateNotice, Upstream } from '@cowsliplead/core/types/upstream.js'
+import type { RateNotice, ResponseSignals, Upstream } from '@cowsliplead/core/types/upstream.js'
+import type { ContactFailure, UpstreamReachability } from '@cowsliplead/core/core/handover/upstreamReachability.js'
 import type { Dispatcher } from '@cowsliplead/core/core/dispatch/dispatcher.js'
 import type { ResponseHead, StreamDecision } from '../../types/responseSink.js'
 import type { Dialect } from '../../types/dialect.js'
@@ -10,10 +11,13 @@
 import type { ActiveCall } from '../callers/activeCall.js'
 import { UpstreamConnections } from './upstreamConnections.js'
 import type { ConnectionPool } from './connectionPool.js'
-import { UpstreamProbe } from './upstreamProbe.js'
+import { UpstreamProbe, type ProbeReport } from './upstreamProbe.js'
 import { ServiceCounters } from './serviceCounters.js'
 import type { TickTimer } from '../supervision/tickTimer.js'
 
+/** Notified of the contact with the upstreams of all services; see `UpstreamReachability`. */
+export type ContactObserver = Pick<UpstreamReachability, 'onStart' | 'onResponse' | 'onEnd'>
+
 /** Options of a service forwarder. */
 export interface ServiceForwarderOptions {
   readonly service: string
@@ -24,8 +28,12 @@
   readonly createDispatcher: (port: DispatchPort) => Dispatcher
   /** Called when requests are marked as suspect. */
   readonly onSuspects: (marks: readonly SuspectMark[]) => void
+  /** Called when an upstream says that it is leaving. */
+  readonly onLeaving?: (upstreamId: string, incarnation: number | undefined) => void
   /** Notified of the events of calls. */
   readonly observer?: CallObserver
+  /** Notified of what reaches upstreams. */
+  readonly contacts?: ContactObserver | undefined
 }
 
 /** Receives the events of a service's calls. */
@@ -40,6 +48,8 @@
   onRateLimit (change: RateLimitChange): void
   /** Upstreams begin or cease to be reserved for urgent kinds. */
   onReservation (change: ReservationChange): void
+  /** An upstream is leaving or asks for a pause. */
+  onUpstreamSignal (signal: UpstreamSignal): void
 }
 
 /** An attempt in progress and the pool that its connection returns to. */
@@ -97,6 +107,11 @@
     this.options.observer?.onReservation(change)
   }
 
+  onUpstreamSignal (signal: UpstreamSignal): void {
+    this.options.observer?.onUpstreamSignal(signal)
+    if (signal.kind === 'leaving') this.options.onLeaving?.(signal.upstreamId, signal.incarnation)
+  }
+
   /** Number of calls without a result. */
   get callsInFlight (): number {
     return this.calls.size
@@ -127,6 +142,18 @@
     this.rescheduleTick()
   }
 
+  /** Takes the upstreams of these failure domains out of use. */
+  setEvacuatedDomains (domains: ReadonlySet<string>): void {
+    this.dispatcher.setEvacuatedDomains(domains)
+    this.rescheduleTick()
+  }
+
+  /** Stops new work for an upstream that has told another VM that it is leaving. */
+  markLeaving (upstreamId: string, incarnation: number): void {
+    this.dispatcher.markLeaving(upstreamId, incarnation)
+    this.rescheduleTick()
+  }
+
   submit (call: ActiveCall): void {
     this.calls.set(call.call.id, call)
     this.dispatcher.submit(call.call)
@@ -151,6 +178,17 @@
     }
   }
 
+  /** Removes the calls of which no attempt was started, without an answer to their callers, and returns them. */
+  withdrawUnstarted (): ActiveCall[] {
+    const unstarted = [...this.calls.values()].filter(call => !call.isStarted)
+    for (const { call: { id } } of unstarted) {
+      this.calls.delete(id)
+      this.dispatcher.cancelCall(id)
+    }
+    this.rescheduleTick()
+    return unstarted
+  }
+
   /** Closes the connections; called once no calls are in flight. */
   close (): void {
     this.tickTimer.remove(this.dispatcher)
@@ -173,6 +211,7 @@
     })
     this.attempts.set(attempt.id, { upstreamId: attempt.upstreamId, attempt: activeAttempt, connections, startedAt: now })
     this.options.observer?.onAttempt(call, attempt)
+    this.options.contacts?.onStart(activeAttempt, attempt.upstreamId, 'request')
     if (activeAttempt.isUploading) this.uploading.add(activeAttempt)
     activeAttempt.start()
   }
@@ -196,11 +235,20 @@
     call.finish(result, this.endingAttempt?.bufferedResponse)
   }
 
+  onResponse (attempt: ActiveAttempt, isNewConnection: boolean): void {
+    this.options.contacts?.onResponse(attempt, isNewConnection)
+  }
+
   onRateNotice ({ attemptId }: ActiveAttempt, notice: RateNotice): void {
     const upstreamId = this.attempts.get(attemptId)?.upstreamId
     if (upstreamId !== undefined) this.dispatcher.onRateNotice(upstreamId, notice)
   }
 
+  onSignals ({ attemptId }: ActiveAttempt, signals: ResponseSignals): void {
+    this.dispatcher.onAttemptSignals(attemptId, signals)
+    this.rescheduleTick()
+  }
+
   onProgress (attempt: ActiveAttempt): void {
     this.dispatcher.onAttemptProgress(attempt.attemptId)
   }
@@ -217,6 +265,7 @@
   }
 
   onChunk (attempt: ActiveAttempt, chunk: Buffer): boolean {
+    this.options.contacts?.onResponse(attempt, false)
     const flowing = this.calls.get(attempt.callId)?.sink.write(chunk) ?? true
     if (!flowing) this.paused.add(attempt)
     return flowing
@@ -228,18 +277,28 @@
   }
 
   sendProbe (upstreamId: string): void {
-    const { clock, options: { dialect }, healthPath } = this
+    const { clock, options: { dialect, contacts }, healthPath } = this
     const connections = this.connections.poolFor(upstreamId)
     const connection = connections?.acquire(false)
     if (connections === undefined || connection === undefined) return
-    UpstreamProbe.send({ connection, path: healthPath, upstreamId, dialect, clock }, result => {
+    const isNewConnection = connection.lastResponseAt === 0
+    contacts?.onStart(connection, upstreamId, 'probe')
+    const onSignals = (signals: ResponseSignals): void => this.dispatcher.onProbeSignals(upstreamId, signals)
+    UpstreamProbe.send({ connection, path: healthPath, upstreamId, dialect, clock, onSignals }, result => {
       connections.release(connection)
-      if (result.kind === 'report') this.dispatcher.onProbeReport(upstreamId, result.report, result.rateNotice)
+      if (result.kind === 'report' || result.hasResponded) contacts?.onResponse(connection, isNewConnection)
+      else contacts?.onEnd(connection, isNewConnection ? 'unconnected' : 'silent')
+      if (result.kind === 'report') this.onProbeReport(upstreamId, result)
       else this.dispatcher.onProbeFailed(upstreamId)
       this.rescheduleTick()
     })
   }
 
+  private onProbeReport (upstreamId: string, { report, rateNotice, warmupLeftMs }: ProbeReport): void {
+    if (warmupLeftMs !== undefined) this.dispatcher.onWarmupNotice(upstreamId, warmupLeftMs)
+    this.dispatcher.onProbeReport(upstreamId, report, rateNotice)
+  }
+
   /** Reports progress for attempts that wait for a slow caller, so that they are not treated as stalled. */
   reportProgressOfWaiting (): void {
     for (const attempt of this.paused) this.onProgress(attempt)
@@ -258,6 +317,8 @@
     else tracked?.connections.release(attempt.connection)
     this.counters.countEnd(end.kind)
     const call = this.calls.get(attempt.callId)
+    this.options.contacts?.onEnd(attempt, contactFailureOf(attempt, end))
+    if (call !== undefined && end.kind === 'notRun' && !attempt.wasSent) call.unconnectedAttempts += 1
     if (call !== undefined && tracked !== undefined) {
       this.options.observer?.onAttemptEnd(call, attempt, end, this.clock.now() - tracked.startedAt)
     }
@@ -296,3 +357,9 @@
     this.tickTimer.reschedule(this.dispatcher)
   }
 }
+
+/** Why an attempt got no response; undefined if this VM has given it up. Without effect on one that got a response. */
+function contactFailureOf (attempt: ActiveAttempt, { kind }: AttemptEnd): ContactFailure | undefined {
+  if (kind === 'cancelled' || attempt.neverSent) return undefined
+  return attempt.wasSent ? 'lost' : 'unconnected'
+}
--- a/packages/daemon/src/core/upstreams/upstreamProbe.ts
+++ b/packages/daemon/src/core/upstreams/upstreamProbe.ts
@@ -1,6 +1,7 @@
 import type { Clock, Milliseconds } from '@cowsliplead/core/types/clock.js'
-import type { LoadReport, RateNotice } from '@cowsliplead/core/types/upstream.js'
+import type { LoadReport, RateNotice, ResponseSignals } from '@cowsliplead/core/types/upstream.js'
 import type { Dialect } from '../../types/dialect.js'
+import { notifyOfSignals } from '../../utils/responseSignals.js'
 import type { Connection } from './connectionPool.js'
 import type { ExchangeHandler } from './httpConnection.js'
 import type { ParsedHead } from './responseParser.js'
@@ -8,10 +9,20 @@
 /** Time after which a probe has failed and its connection is closed, because it may be broken. */
 const PROBE_TIMEOUT_MS: Milliseconds = 250
 
-/** Result of a probe. `failed`: the upstream was not reached or sent no load report, or a different one answered. */
-export type ProbeResult =
-  | { readonly kind: 'report', readonly report: LoadReport, readonly rateNotice: RateNotice | undefined }
-  | { readonly kind: 'failed' }
+/** What the response to a probe says. */
+export interface ProbeReport {
+  readonly kind: 'report'
+  readonly report: LoadReport
+  readonly rateNotice: RateNotice | undefined
+  /** How long the upstream stays cold; undefined if it does not say. */
+  readonly warmupLeftMs: Milliseconds | undefined
+}
+
+/**
+ * Result of a probe. `failed`: the upstream was not reached or sent no load report, or a different one answered; `hasResponded`
+ * tells whether anything did.
+ */
+export type ProbeResult = ProbeReport | { readonly kind: 'failed', readonly hasResponded: boolean }
 
 /** Options of a probe. */
 export interface UpstreamProbeOptions {
@@ -20,12 +31,16 @@
   readonly upstreamId: string
   readonly dialect: Dialect
   readonly clock: Clock
+  /** Called with the head of the response if it says that the upstream is leaving or asks for a pause. */
+  readonly onSignals: (signals: ResponseSignals) => void
 }
 
 /** Requests the load report of one upstream. The health that it reports is ignored, as it may be wrong either way. */
 export class UpstreamProbe implements ExchangeHandler {
   private report: LoadReport | undefined
+  private hasResponded = false
   private rateNotice: RateNotice | undefined
+  private warmupLeftMs: Milliseconds | undefined
   private readonly timer: NodeJS.Timeout
 
   private constructor (private readonly options: UpstreamProbeOptions, private readonly done: (result: ProbeResult) => void) {
@@ -45,6 +60,7 @@
 
   onHead ({ status, rawHeaders }: ParsedHead): 'accept' | 'skip' {
     const { connection, dialect, clock } = this.options
+    this.hasResponded = true
     const metadata = dialect.readResponseMetadata(status, rawHeaders, clock.now())
     // Only responses to callers' requests echo an id, so this is a late extra response to an earlier request.
     if (metadata.echoedId !== undefined) return 'skip'
@@ -52,6 +68,8 @@
     connection.idleTimeoutMs = metadata.idleTimeoutMs
     if (!metadata.isFromOtherUpstream) this.report = metadata.report
     this.rateNotice = metadata.rateNotice
+    this.warmupLeftMs = metadata.warmupLeftMs
+    notifyOfSignals(metadata, this.options.onSignals)
     return 'accept'
   }
 
@@ -75,7 +93,7 @@
 
   private end (): void {
     clearTimeout(this.timer)
-    const { report, rateNotice } = this
-    this.done(report === undefined ? { kind: 'failed' } : { kind: 'report', report, rateNotice })
+    const { report, rateNotice, warmupLeftMs } = this
+    this.done(report === undefined ? { kind: 'failed', hasResponded: this.hasResponded } : { kind: 'report', report, rateNotice, warmupLeftMs })
   }
 }
