Measure the age of keys without the coarse steps of the boot-time clock

Callers of a deployment with 40 VMs got 503 for seven tenths of their requests: where the system gives the boot-time clock in whole seconds, each age was too high by up to one second, and the ages of a chain of three VMs add up. The clock counts now only where it is ahead of the monotonic clock by more than its step; the limit is lower by that step. The case is in the table of the clock's test.

--- a/packages/core/__tests__/elapsedClock.test.ts
+++ b/packages/core/__tests__/elapsedClock.test.ts
@@ -9,6 +9,7 @@
     { name: 'the VM is suspended and the boot-time clock stops as well', monotonic: 10, boot: 10, wall: 6010, elapsed: 6010 },
     { name: 'the time of day is set back', monotonic: 700, boot: 700, wall: -9300, elapsed: 700 },
     { name: 'the time of day is set forward', monotonic: 700, boot: 700, wall: 8700, elapsed: 8700 },
+    { name: 'the boot-time clock is read in whole seconds', monotonic: 150, boot: 1000, wall: 150, elapsed: 150 },
     { name: 'every clock is set back', monotonic: -1, boot: -1, wall: -1, elapsed: 0 }
   ]
   // Guards against a configuration that looks recent after its VM was suspended.
--- a/packages/core/src/types/elapsedClock.ts
+++ b/packages/core/src/types/elapsedClock.ts
@@ -17,11 +17,15 @@
 
 const MS_PER_SECOND = 1000
 
+/** Largest step of the boot-time clock: some systems give it in whole seconds. */
+export const BOOT_CLOCK_STEP_MS: Milliseconds = 1000
+
 const SYSTEM_READERS: InstantReaders = { monotonic: () => performance.now(), boot: () => uptime() * MS_PER_SECOND, wall: () => Date.now() }
 
 /**
  * Measures elapsed time also across a suspension of the VM, in which the monotonic clock stops, and across steps of the time
- * of day: the largest difference counts. A forward step makes instants before it look older than they are, never younger.
+ * of day: the largest difference counts. A forward step makes instants before it look older than they are. The boot-time
+ * clock counts only where it is ahead of the monotonic clock by more than its step, which shows a suspension.
  */
 export class ElapsedClock {
   private constructor (private readonly readers: InstantReaders) {}
@@ -35,10 +39,13 @@
     return { monotonic: monotonic(), boot: boot(), wall: wall() }
   }
 
-  /** Time since `instant`; the boot-time clock may be read in steps of 10 ms. */
+  /** Time since `instant`; too short by `BOOT_CLOCK_STEP_MS` at most, if the time of day was set back during a suspension. */
   since (instant: Instant): Milliseconds {
     const now = this.now()
-    return Math.max(0, now.monotonic - instant.monotonic, now.boot - instant.boot, now.wall - instant.wall)
+    const monotonic = now.monotonic - instant.monotonic
+    const boot = now.boot - instant.boot
+    const suspended = boot - monotonic > BOOT_CLOCK_STEP_MS ? boot : 0
+    return Math.max(0, monotonic, suspended, now.wall - instant.wall)
   }
 }
 
--- a/packages/daemon/src/core/customers/configurationAge.ts
+++ b/packages/daemon/src/core/customers/configurationAge.ts
@@ -1,10 +1,10 @@
 import type { Milliseconds } from '@cowsliplead/core/types/clock.js'
-import { instantBefore, type ElapsedClock, type Instant } from '@cowsliplead/core/types/elapsedClock.js'
+import { BOOT_CLOCK_STEP_MS, instantBefore, type ElapsedClock, type Instant } from '@cowsliplead/core/types/elapsedClock.js'
 import type { TablePosition } from '../../types/controlStore.js'
 import type { Logger } from '../operators/logger.js'
 
-/** Error of the clocks, above all the step of the boot-time clock. */
-const CLOCK_ERROR_MS: Milliseconds = 20
+/** Largest error of an age. */
+const CLOCK_ERROR_MS = BOOT_CLOCK_STEP_MS
 
 /** What this VM knows of the configuration table: it held nothing beyond `position` at `at`. */
 export interface Confirmation {
