Ignore a boot-time clock that runs at another speed than the VM's clocks

Callers of a fleet of 40 VMs got 503 for three quarters of their requests. The log of one VM, with the three clocks: monotonic clock and time of day agreed on 1,951 ms while the boot-time clock had advanced by 4,441 ms. It is read from the host there, whose time passes at another speed. The step of one second that was suspected before was not the cause, or not the only one. Where the other two clocks agree, so that there was neither a suspension nor a step, and the boot-time clock is ahead by more than its step, it is ignored from then on. The case is in the table of the clock's test.

--- a/packages/core/__tests__/elapsedClock.test.ts
+++ b/packages/core/__tests__/elapsedClock.test.ts
@@ -10,6 +10,7 @@
     { name: 'the time of day is set back', monotonic: 700, boot: 700, wall: -9300, elapsed: 700 },
     { name: 'the time of day is set forward', monotonic: 700, boot: 700, wall: 8700, elapsed: 8700 },
     { name: 'the boot-time clock is read in whole seconds', monotonic: 150, boot: 1000, wall: 150, elapsed: 150 },
+    { name: 'the boot-time clock is that of a host whose time runs faster', monotonic: 900, boot: 4200, wall: 900, elapsed: 900 },
     { name: 'every clock is set back', monotonic: -1, boot: -1, wall: -1, elapsed: 0 }
   ]
   // Guards against a configuration that looks recent after its VM was suspended.
--- a/packages/core/src/types/elapsedClock.ts
+++ b/packages/core/src/types/elapsedClock.ts
@@ -22,12 +22,19 @@
 
 const SYSTEM_READERS: InstantReaders = { monotonic: () => performance.now(), boot: () => uptime() * MS_PER_SECOND, wall: () => Date.now() }
 
+/** Difference up to which the time of day and the monotonic clock agree: neither a suspension nor a step came between. */
+const AGREEMENT_MS: Milliseconds = 250
+
 /**
  * Measures elapsed time also across a suspension of the VM, in which the monotonic clock stops, and across steps of the time
  * of day: the largest difference counts. A forward step makes instants before it look older than they are. The boot-time
- * clock counts only where it is ahead of the monotonic clock by more than its step, which shows a suspension.
+ * clock counts only where it is ahead of the monotonic clock by more than its step, which shows a suspension. In some
+ * environments it is that of the host and runs at another speed than the VM's clocks; it is ignored from then on.
  */
 export class ElapsedClock {
+  /** Whether the boot-time clock is that of this VM. */
+  private hasBootClock = true
+
   private constructor (private readonly readers: InstantReaders) {}
 
   static create (readers: InstantReaders = SYSTEM_READERS): ElapsedClock {
@@ -44,8 +51,10 @@
     const now = this.now()
     const monotonic = now.monotonic - instant.monotonic
     const boot = now.boot - instant.boot
-    const suspended = boot - monotonic > BOOT_CLOCK_STEP_MS ? boot : 0
-    return Math.max(0, monotonic, suspended, now.wall - instant.wall)
+    const wall = now.wall - instant.wall
+    const isAhead = boot - monotonic > BOOT_CLOCK_STEP_MS
+    if (isAhead && Math.abs(wall - monotonic) <= AGREEMENT_MS) this.hasBootClock = false
+    return Math.max(0, monotonic, wall, isAhead && this.hasBootClock ? boot : 0)
   }
 }
 
