--- a/packages/core/src/types/elapsedClock.ts
+++ b/packages/core/src/types/elapsedClock.ts
@@ -43,7 +43,7 @@
 
   now (): Instant {
     const { monotonic, boot, wall } = this.readers
-    return { monotonic: monotonic(), boot: boot(), wall: wall() }
+    return { monotonic: monotonic(), boot: this.hasBootClock ? boot() : 0, wall: wall() }
   }
 
   /** Time since `instant`; too short by `BOOT_CLOCK_STEP_MS` at most, if the time of day was set back during a suspension. */
