--- a/packages/core/src/core/capacity/slotReservation.ts
+++ b/packages/core/src/core/capacity/slotReservation.ts
@@ -30,8 +30,9 @@
  * Reserves a part of a service's upstreams for its urgent kinds while these arrive and calls have to wait. Answers the load
  * in which a traffic split sends long bulk work to a service with urgent kinds: bulk that has started cannot be put
  * behind an urgent call that comes later. The part follows from the arriving work that is more urgent than the bulk and
- * no longer than it, relative to the work that can be started; the bulk keeps its floor. Upstreams are reserved in an order that is the same on all VMs, so that no messages
- * are needed and the limit holds for all VMs together, also where there are more VMs than slots.
+ * no longer than it, relative to the work that can be started; the bulk keeps its floor. Upstreams are reserved in an order
+ * that is the same on all VMs, so that no messages are needed and the limit holds for all VMs together, also where there
+ * are more VMs than slots.
  */
 export class SlotReservation {
   private readonly arriving = new Map<string, ArrivingWork>()
--- a/packages/core/src/core/capacity/startEstimate.ts
+++ b/packages/core/src/core/capacity/startEstimate.ts
@@ -5,7 +5,7 @@
 import type { RoutingContext } from '../dispatch/routingContext.js'
 
 /** What delays a call most. */
-export type StartDelay = 'none' | 'queue' | 'requestRate' | 'pause'
+export type StartDelay = 'none' | 'queue' | 'requestRate' | 'backoff'
 
 /** When a call that arrives now could start and end. */
 export interface StartEstimate {
@@ -32,7 +32,7 @@
   const byDelay: Array<readonly [StartDelay, Milliseconds]> = [
     ['queue', queue.size === 0 ? 0 : queue.expectedWaitMs(call, now, startIntervalMs)],
     ['requestRate', (rateLimitedUntil(context, call) ?? now) - now],
-    ['pause', (closedUntil(context, now) ?? now) - now]
+    ['backoff', (closedUntil(context, now) ?? now) - now]
   ]
   const [delay, waitMs] = byDelay.reduce((longest, each) => each[1] > longest[1] ? each : longest, ['none', 0])
   return {
--- a/packages/core/src/core/dispatch/callEngine.ts
+++ b/packages/core/src/core/dispatch/callEngine.ts
@@ -2,7 +2,7 @@
 import type { Call, CallResult, CancelReason } from '../../types/dispatch.js'
 import type { ResultCodeName } from '../../types/resultCode.js'
 import { estimateStart, type StartEstimate } from '../capacity/startEstimate.js'
-import { checkAdmission, checkReachability } from '../limits/admission.js'
+import { checkAdmission, checkAvailability } from '../limits/admission.js'
 import { failureResult } from './attemptEnds.js'
 import type { AttemptControl } from './attemptControl.js'
 import { AttemptRunner } from './attemptRunner.js'
@@ -95,7 +95,7 @@
   }
 
   mayRetry (state: CallState): boolean {
-    return this.waiting.retries.mayRetry(state) && checkReachability(this.context, state.call) === undefined
+    return this.waiting.retries.mayRetry(state) && checkAvailability(this.context, state.call) === undefined
   }
 
   startHedge (state: CallState): boolean {
@@ -204,7 +204,7 @@
   private startNextRetry (): boolean {
     const state = this.waiting.retries.first
     if (state === undefined) return false
-    if (checkReachability(this.context, state.call) !== undefined || this.waiting.retries.isBudgetWaitTooLong(state)) {
+    if (checkAvailability(this.context, state.call) !== undefined || this.waiting.retries.isBudgetWaitTooLong(state)) {
       this.finish(state, failureResult(state, state.lastResultCode ?? 'shed'))
       return true
     }
@@ -233,7 +233,7 @@
     if (this.refuseOrParkSuspect(state)) return true
     const choice = chooseUpstream(context, state, 'first')
     if (choice?.isTrial !== true && this.waiting.beginProbes(state, choice !== undefined)) return true
-    if (choice === undefined) return this.refuseIfUnreachable(state)
+    if (choice === undefined) return this.refuseIfUnavailable(state)
     const now = context.clock.now()
     context.queue.depart(state, now)
     context.served.onStart(state.call, now)
@@ -264,8 +264,8 @@
   }
 
   /** Refuses a waiting call that no upstream can take in time. Returns whether it did. */
-  private refuseIfUnreachable (state: CallState): boolean {
-    const code = checkReachability(this.context, state.call)
+  private refuseIfUnavailable (state: CallState): boolean {
+    const code = checkAvailability(this.context, state.call)
     if (code === undefined) return false
     this.finish(state, { kind: 'notRun', code })
     return true
--- a/packages/core/src/core/handover/upstreamReachability.ts
+++ b/packages/core/src/core/handover/upstreamReachability.ts
@@ -19,7 +19,10 @@
   readonly refusedConnections: number
 }
 
-/** Why an exchange with an upstream ended without a response: the connection was not established, or was lost, or a probe timed out. */
+/**
+ * Why an exchange with an upstream ended without a response. `unconnected`: on a new connection, whether it was not established
+ * or stayed silent; `lost`: the connection was lost; `silent`: a probe timed out on a connection that had been in use.
+ */
 export type ContactFailure = 'unconnected' | 'lost' | 'silent'
 
 /** Silence above which a request without an answer is a sign; shorter than most requests take on an upstream that is slowed down. */
--- a/packages/core/src/core/limits/admission.ts
+++ b/packages/core/src/core/limits/admission.ts
@@ -26,7 +26,7 @@
  * The code with which a call that waits, for its first attempt or a retry, is refused because no upstream can take it in
  * time; undefined if one can.
  */
-export function checkReachability (context: RoutingContext, call: Call): ResultCodeName | undefined {
+export function checkAvailability (context: RoutingContext, call: Call): ResultCodeName | undefined {
   const { table, clock } = context
   const now = clock.now()
   if (!table.hasEligibleUpstreams(now)) return 'noUpstream'
--- a/packages/core/src/core/limits/retryAfter.ts
+++ b/packages/core/src/core/limits/retryAfter.ts
@@ -23,8 +23,8 @@
   const unavailableMs = unavailableForMs(context, now)
   if (unavailableMs !== undefined) return { ...result, retryAfterMs: Math.max(MIN_WAIT_MS, unavailableMs) }
   const { waitMs, delay } = estimateStart(context, call, context.serviceTimes.meanServiceMs())
-  // The end of a pause is known; any repeat before it would be refused again.
-  if (delay === 'pause') return { ...result, retryAfterMs: Math.max(MIN_WAIT_MS, waitMs) }
+  // All upstreams are backed off from or pause; a retry before the first of them takes calls again would be refused too.
+  if (delay === 'backoff') return { ...result, retryAfterMs: Math.max(MIN_WAIT_MS, waitMs) }
   const expectedMs = delay === 'none' ? TYPICAL_RECOVERY_MS : Math.max(MIN_WAIT_MS, waitMs)
   const retryAfterMs = Math.min(expectedMs, (call.deadlineAt - now) * MAX_WAIT_SHARE)
   return retryAfterMs >= MIN_WAIT_MS ? { ...result, retryAfterMs } : result
--- a/packages/core/src/core/quotas/quotaHolder.ts
+++ b/packages/core/src/core/quotas/quotaHolder.ts
@@ -14,7 +14,7 @@
 /** Options of a holder. */
 export interface QuotaHolderOptions {
   readonly holders: QuotaHolders
-  /** Must not count time in which the VM was suspended more than once. */
+  /** Must not advance while the VM is suspended, so that buckets earn no tokens in that time. */
   readonly clock: Clock
   readonly slack: QuotaSlack | undefined
   /** The quota of a customer by the configuration in force; undefined if it has none. */
--- a/packages/daemon/__tests__/configurationAge.test.ts
+++ b/packages/daemon/__tests__/configurationAge.test.ts
@@ -3,7 +3,7 @@
 import { ElapsedClock } from '@cowsliplead/core/types/elapsedClock.js'
 import { SeededRandom } from '@cowsliplead/core/types/randomSource.js'
 import { KeyConfirmation } from '../src/core/customers/keyConfirmation.js'
-import { Detours } from '../src/core/feed/detours.js'
+import { AdditionalSources } from '../src/core/feed/additionalSources.js'
 import { FEED_MESSAGE, FEED_REQUEST } from '../src/types/feedMessage.js'
 import type { TablePosition } from '../src/types/controlStore.js'
 
@@ -146,20 +146,20 @@
   }
 })
 
-describe('Detours', () => {
+describe('AdditionalSources', () => {
   // Guards against a VM that gives up keys although other VMs have recent ones, and against reconnecting without end in an outage.
   it('follows further VMs while the configuration is old, ever longer, and keeps those that help', () => {
-    const detours = Detours.create(SeededRandom.create(1))
+    const additionalSources = AdditionalSources.create(SeededRandom.create(1))
     const candidates = ['a', 'b', 'c', 'd']
-    expect(detours.update(Infinity, candidates, 0)).to.deep.equal([])
-    expect(detours.update(1000, candidates, 500)).to.deep.equal([])
-    const chosen = detours.update(3000, candidates, 3000)
+    expect(additionalSources.update(Infinity, candidates, 0)).to.deep.equal([])
+    expect(additionalSources.update(1000, candidates, 500)).to.deep.equal([])
+    const chosen = additionalSources.update(3000, candidates, 3000)
     expect(new Set(chosen).size).to.equal(2)
-    expect(detours.update(3900, candidates, 3900)).to.equal(chosen)
-    expect(detours.update(4100, candidates, 4100)).not.to.equal(chosen)
-    const kept = detours.update(600, candidates, 4300)
-    expect(detours.update(900, candidates, 14_000)).to.equal(kept)
-    expect(detours.update(900, candidates, 14_400)).to.deep.equal([])
-    expect(detours.update(9000, [], 20_000)).to.deep.equal([])
+    expect(additionalSources.update(3900, candidates, 3900)).to.equal(chosen)
+    expect(additionalSources.update(4100, candidates, 4100)).not.to.equal(chosen)
+    const kept = additionalSources.update(600, candidates, 4300)
+    expect(additionalSources.update(900, candidates, 14_000)).to.equal(kept)
+    expect(additionalSources.update(900, candidates, 14_400)).to.deep.equal([])
+    expect(additionalSources.update(9000, [], 20_000)).to.deep.equal([])
   })
 })
--- a/packages/daemon/src/core/callers/proxy.ts
+++ b/packages/daemon/src/core/callers/proxy.ts
@@ -49,8 +49,11 @@
 
 /** Hands requests to other VMs while this one reaches no upstream. */
 export interface CallHandover {
-  /** Takes a request over, with its body, before anything else is decided about it; calls `serve` if no VM takes it. */
-  takesArrival (arrived: ArrivedRequest, serve: (body: RequestBody) => void): boolean
+  /**
+   * Hands a request over, with its body, before anything else is decided about it, while this VM is cut off; calls `serve` if no
+   * VM takes it. Returns false, without having read the body, if this VM must serve it.
+   */
+  tryHandOver (arrived: ArrivedRequest, serve: (body: RequestBody) => void): boolean
   /** A sink that hands the call over instead of refusing it where that is allowed. */
   wrapSink (arrived: ArrivedRequest, body: RequestBody, deadlineAt: Milliseconds, call: () => ActiveCall): ResponseSink
 }
@@ -122,7 +125,7 @@
     const isHandedOver = elapsedMs !== undefined
     const sink = this.createSink(request, response, callerId ?? requestId, isHandedOver)
     const arrived = { request, response, sink, requestId, arrivedAt, isHandedOver }
-    if (!isHandedOver && handover?.takesArrival(arrived, body => this.serve(arrived, body)) === true) return
+    if (!isHandedOver && handover?.tryHandOver(arrived, body => this.serve(arrived, body)) === true) return
     this.serve(arrived)
   }
 
--- a/packages/daemon/src/core/customers/configurationAge.ts
+++ b/packages/daemon/src/core/customers/configurationAge.ts
@@ -3,7 +3,7 @@
 import type { TablePosition } from '../../types/controlStore.js'
 import type { Logger } from '../operators/logger.js'
 
-/** Largest error of an age. */
+/** Largest amount by which a measured age can be too short, see `ElapsedClock.since`. */
 const CLOCK_ERROR_MS = BOOT_CLOCK_STEP_MS
 
 /** What this VM knows of the configuration table: it held nothing beyond `position` at `at`. */
@@ -21,7 +21,7 @@
 /** Options of the configuration's age. */
 export interface ConfigurationAgeOptions {
   readonly clock: ElapsedClock
-  /** Keys are accepted while the configuration is confirmed not to be older. */
+  /** Keys are accepted while the age is at most this less `CLOCK_ERROR_MS`. */
   readonly maxAgeMs: Milliseconds
   readonly logger: Logger
 }
--- a/packages/daemon/src/core/feed/feedFollower.ts
+++ b/packages/daemon/src/core/feed/feedFollower.ts
@@ -7,7 +7,7 @@
 import type { Logger } from '../operators/logger.js'
 import type { ChangeFeed } from './changeFeed.js'
 import type { ConfirmationExchange } from './confirmationExchange.js'
-import { Detours } from './detours.js'
+import { AdditionalSources } from './additionalSources.js'
 import { FeedConnection, type FeedConnectionObserver, type DisconnectReason } from './feedConnection.js'
 import { decodeFeedRecords } from './feedRecords.js'
 import type { LeavingNotices } from './leavingNotices.js'
@@ -50,7 +50,7 @@
 export class FeedFollower implements FeedConnectionObserver {
   private readonly connections = new Map<string, FeedConnection>()
   private readonly outages = new Map<string, Outage>()
-  private readonly detours = Detours.create(SeededRandom.create(process.pid ^ Date.now()))
+  private readonly additionalSources = AdditionalSources.create(SeededRandom.create(process.pid ^ Date.now()))
   private timer: NodeJS.Timeout | undefined
   private currentRole: FleetRole | undefined
 
@@ -151,8 +151,8 @@
     const followed = members.membersToFollow(isUp)
     if (confirmations === undefined) return [...followed]
     const others = members.list().map(({ vmId }) => vmId).filter(vmId => vmId !== this.options.vmId && isUp(vmId) && !followed.some(member => member.vmId === vmId))
-    const detours = this.detours.update(confirmations.age.ageMs, others, clock.now()).flatMap(vmId => members.get(vmId) ?? [])
-    return [...followed, ...detours]
+    const additionalSources = this.additionalSources.update(confirmations.age.ageMs, others, clock.now()).flatMap(vmId => members.get(vmId) ?? [])
+    return [...followed, ...additionalSources]
   }
 
   /** Whether this VM reaches the store and the followed one does not. */
--- a/packages/daemon/src/core/handover/handover.ts
+++ b/packages/daemon/src/core/handover/handover.ts
@@ -83,7 +83,7 @@
   private constructor (private readonly options: HandoverOptions) {
     const { vmId, clock, random, dialect, eventLog: { logger } } = options
     this.lastTickAt = clock.now()
-    // This clock also shows that the VM was suspended, while which the monotonic clock stands still.
+    // Follows the time of day forwards, because the monotonic clock stops while the VM is suspended.
     this.reachability = UpstreamReachability.create({
       clock: SystemClock.create(), random, onChange: (evidence, previous) => this.onReachability(evidence, previous)
     })
@@ -125,7 +125,7 @@
     this.receiver.handle(request, response)
   }
 
-  takesArrival (arrived: ArrivedRequest, serve: (body: RequestBody) => void): boolean {
+  tryHandOver (arrived: ArrivedRequest, serve: (body: RequestBody) => void): boolean {
     const { clock, dialect, bodyTimeoutMs, maxBodyBytes, stopPlan } = this.options
     const { request, sink, arrivedAt } = arrived
     if (this.reachability.state !== 'cutOff' || this.choice.isAllCut) return false
