--- a/review/lib/backend.mjs
+++ b/review/lib/backend.mjs
@@ -45,28 +45,26 @@
     for (const socket of this.sockets) socket.destroy()
   }
 
-  /** Falls silent: takes connections but reads and writes nothing, and sends no heartbeats. */
-  stopListening () {
+  /** Resets all connections and refuses new ones, and comes back after `downMs` as a new lifetime at the same address. */
+  async crash (downMs) {
     clearInterval(this.timer)
-    for (const socket of this.sockets) socket.pause()
-    this.server.on('connection', socket => { if (this.isDark) socket.pause() })
-  }
-
-  /** Comes back as a new lifetime at the same address; what it held is gone. */
-  async restart () {
+    this.isDown = true
     for (const socket of this.sockets) socket.resetAndDestroy()
+    await sleep(downMs)
     this.store.put('keyed.servers', this.id, undefined)
-    Object.assign(this, { id: `i-${randomBytes(4).toString('hex')}`, born: Date.now(), sequence: 0, isDark: false })
+    Object.assign(this, { id: `i-${randomBytes(4).toString('hex')}`, born: Date.now(), sequence: 0, isDown: false })
     this.beat()
     this.timer = setInterval(() => this.beat(), HEARTBEAT_MS)
   }
 
   accept (socket) {
-    if (this.isDark) return void socket.on('error', () => {})
+    if (this.isDown) return void socket.resetAndDestroy()
     socket.setNoDelay(true)
     socket.on('error', () => {})
     const connection = { socket, buffer: Buffer.alloc(0), isBusy: false, isClosed: false, state: {} }
-    socket.on('close', () => { connection.isClosed = true })
+    socket.on('close', () => {
+      connection.isClosed = true
+    })
     socket.on('data', chunk => {
       connection.buffer = Buffer.concat([connection.buffer, chunk])
       void this.serveNext(connection)
--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -84,7 +84,7 @@
       daemon.exit = { code, signal }
       daemon.ends++
       this.onExit?.(daemon)
-      if (this.restarts && !this.isStopping) setTimeout(() => { if (!this.isStopping) this.launch(daemon) }, RESTART_MS)
+      if (this.restarts && !this.isStopping) setTimeout(() => this.isStopping || this.launch(daemon), RESTART_MS)
     })
   }
 
