--- a/packages/core/src/utils/timerQueue.ts
+++ b/packages/core/src/utils/timerQueue.ts
@@ -31,9 +31,8 @@
   }
 
   schedule (at: Milliseconds, action: () => void): Timer {
-    const timer: Timer = { at, action, heapIndex: this.heap.length }
-    this.heap.push(timer)
-    this.siftUp(timer)
+    const timer: Timer = { at, action, heapIndex: INACTIVE }
+    this.insert(timer)
     return timer
   }
 
@@ -50,7 +49,10 @@
     this.siftDown(last)
   }
 
-  /** Runs the timers due at `now`. Timers that they schedule for `now` or earlier run on the next call. */
+  /**
+   * Runs the timers due at `now`. Timers that they schedule for `now` or earlier run on the next call, and so do those behind
+   * one whose action throws.
+   */
   runDue (now: Milliseconds): void {
     const due: Timer[] = []
     for (let first = this.heap[0]; first !== undefined && first.at <= now; first = this.heap[0]) {
@@ -58,11 +60,27 @@
       due.push(first)
       first.heapIndex = DUE
     }
+    try {
+      for (const timer of due) {
+        if (timer.heapIndex === DUE) this.run(timer)
+      }
+    } finally {
+      this.putBack(due)
+    }
+  }
+
+  private putBack (due: readonly Timer[]): void {
     for (const timer of due) {
-      if (timer.heapIndex === DUE) this.run(timer)
+      if (timer.heapIndex === DUE) this.insert(timer)
     }
   }
 
+  private insert (timer: Timer): void {
+    timer.heapIndex = this.heap.length
+    this.heap.push(timer)
+    this.siftUp(timer)
+  }
+
   private run (timer: Timer): void {
     timer.heapIndex = INACTIVE
     timer.action()
--- a/packages/daemon/__tests__/httpConnection.test.ts
+++ b/packages/daemon/__tests__/httpConnection.test.ts
@@ -124,6 +124,12 @@
     })
   }
 
+  // Guards against an exception in a timer, which ends the process, where the address of an upstream is impossible.
+  it('fails as unsent, and not with an exception, if the port is out of range', async () => {
+    const connection = HttpConnection.create({ host: '127.0.0.1', port: 70_000, connectTimeoutMs: 1000, onClose: () => {} })
+    expect(await (await exchange(connection)).ended).to.equal('unsent')
+  })
+
   // Guards against reporting a sent request as not run, and an unsent one as having an unknown outcome.
   it('distinguishes a refused connection from one that closed after the request was sent', async () => {
     const sent = await listen(socket => socket.destroy())
--- a/packages/daemon/src/core/control/controlState.ts
+++ b/packages/daemon/src/core/control/controlState.ts
@@ -214,7 +214,7 @@
     for (const record of records) {
       const entry = store.decodeUpstream(record)
       if (entry !== undefined) entries.push(entry)
-      else logger.warn('upstream entry cannot be used', { key: record.key })
+      else this.logUnusableEntry(record)
     }
     const removed = this.directory.replaceAll(entries, clock.now())
     this.hasReadUpstreams = true
@@ -223,10 +223,15 @@
     this.updateUpstreams()
   }
 
+  private logUnusableEntry ({ key }: TableRecord): void {
+    this.options.logger.warn('upstream entry cannot be used', { key })
+  }
+
   private applyUpstreamRecord (record: TableRecord): DirectoryChange {
     const { store, clock, logger } = this.options
     const now = clock.now()
     const entry = record.value === undefined ? undefined : store.decodeUpstream(record)
+    if (record.value !== undefined && entry === undefined) this.logUnusableEntry(record)
     const change = entry === undefined ? this.directory.remove(record.key, now) : this.directory.put(entry, now)
     if (change !== 'renewed' && change !== 'ignored') {
       logger.info('upstream changed', { upstream: record.key, change, service: entry?.service, incarnation: entry?.incarnation, warmupLeftMs: entry?.warmupLeftMs || undefined })
--- a/packages/daemon/src/core/gateway/gateway.ts
+++ b/packages/daemon/src/core/gateway/gateway.ts
@@ -1,7 +1,6 @@
 import { FleetRateDivision } from '@cowsliplead/core/core/limits/rateDivision.js'
 import { FleetMembers } from '@cowsliplead/core/core/membership/fleetMembers.js'
 import { SeededRandom } from '@cowsliplead/core/types/randomSource.js'
-import { DEFAULT_ROUTING_POLICY, type RoutingPolicy } from '@cowsliplead/core/types/routingPolicy.js'
 import type { Milliseconds } from '@cowsliplead/core/types/clock.js'
 import type { Component } from '../../types/component.js'
 import type { ControlStore } from '../../types/controlStore.js'
@@ -39,8 +38,7 @@
 import { MonotonicClock } from './monotonicClock.js'
 import { ReadinessServer } from './readinessServer.js'
 import { StopPlan } from './stopPlan.js'
-import { vmShareOf } from './vmShare.js'
-import { GATEWAY_ROUTING_OVERRIDES } from './routingDefaults.js'
+import { routingPolicyOf } from './routingDefaults.js'
 
 /** How often attempts that wait for a slow caller report progress; short compared with the shortest stall timeout. */
 const PROGRESS_REPORT_INTERVAL_MS: Milliseconds = 50
@@ -70,7 +68,7 @@
 export class Gateway {
   private readonly clock = MonotonicClock.create()
   private readonly random = SeededRandom.create(process.pid ^ Date.now())
-  private readonly tickTimer = TickTimer.create(this.clock)
+  private readonly tickTimer = TickTimer.create(this.clock, error => this.onInternalError('a timer', error))
   private readonly eventLog: EventLog
   /** Undefined if the age of keys is not limited. */
   private readonly keyConfirmation: KeyConfirmation | undefined
@@ -324,13 +322,12 @@
       stopPlan: () => this.stopPlan,
       handover: this.handover,
       onRefused: (request, outcome) => this.eventLog.logRequest('result', { request, outcome }),
-      onError: error => this.eventLog.logger.error('internal error while handling a request', { error: error.stack })
+      onError: error => this.onInternalError('a request', error)
     })
   }
 
   private createPeerServer (): PeerServer | undefined {
     const { peerAddress } = this.settings
-    const { logger } = this.eventLog
     return peerAddress === undefined
       ? undefined
       : PeerServer.create({
@@ -339,7 +336,7 @@
             quota: this.quotas.handler,
             handover: (request, response) => this.handover?.handlePeer(request, response)
           },
-          onError: error => logger.error('internal error while handling a request of another VM', { error: error.stack })
+          onError: error => this.onInternalError('a request of another VM', error)
         })
   }
 
@@ -375,6 +372,10 @@
     })
   }
 
+  private onInternalError (handled: string, error: Error): void {
+    this.eventLog.logger.error(`internal error while handling ${handled}`, { error: error.stack })
+  }
+
   private onStall (lengthMs: Milliseconds): void {
     this.stallCount += 1
     this.eventLog.logger.warn('event loop stalled', { lengthMs: Math.round(lengthMs) })
@@ -393,7 +394,3 @@
     }
   }
 }
-
-function routingPolicyOf (settings: GatewaySettings, fleetSize: number): RoutingPolicy {
-  return { ...DEFAULT_ROUTING_POLICY, ...GATEWAY_ROUTING_OVERRIDES, ...settings.routing, ...vmShareOf(settings, fleetSize) }
-}
--- a/packages/daemon/src/core/gateway/routingDefaults.ts
+++ b/packages/daemon/src/core/gateway/routingDefaults.ts
@@ -1,4 +1,6 @@
-import type { RoutingPolicy } from '@cowsliplead/core/types/routingPolicy.js'
+import { DEFAULT_ROUTING_POLICY, type RoutingPolicy } from '@cowsliplead/core/types/routingPolicy.js'
+import type { GatewaySettings } from '../../types/gatewaySettings.js'
+import { vmShareOf } from './vmShare.js'
 
 /**
  * Overrides of the routing defaults for upstreams whose requests take a tenth of a second or more and whose load
@@ -22,3 +24,8 @@
   stallMinMs: 200,
   suspectCrashes: 3
 }
+
+/** The routing policy of one VM, for `vms` known VMs, before the operators' policy is applied. */
+export function routingPolicyOf (settings: GatewaySettings, vms: number): RoutingPolicy {
+  return { ...DEFAULT_ROUTING_POLICY, ...GATEWAY_ROUTING_OVERRIDES, ...settings.routing, ...vmShareOf(settings, vms) }
+}
--- a/packages/daemon/src/core/supervision/tickTimer.ts
+++ b/packages/daemon/src/core/supervision/tickTimer.ts
@@ -7,6 +7,9 @@
   tick (): void
 }
 
+/** Longest delay of a timer of Node, which fires at once if it is given a longer one. */
+const MAX_TIMER_MS: Milliseconds = 2 ** 31 - 1
+
 /** One event-loop timer that all dispatchers share, so that most calls need no timer of their own. */
 export class TickTimer {
   private readonly tickables = new Set<Tickable>()
@@ -14,10 +17,11 @@
   private armedFor: Milliseconds = Infinity
   private isStopped = false
 
-  private constructor (private readonly clock: Clock) {}
+  private constructor (private readonly clock: Clock, private readonly onError: (error: Error) => void) {}
 
-  static create (clock: Clock): TickTimer {
-    return new TickTimer(clock)
+  /** An exception of an object's timed work is passed to `onError`, and the work of the others goes on. */
+  static create (clock: Clock, onError: (error: Error) => void): TickTimer {
+    return new TickTimer(clock, onError)
   }
 
   add (tickable: Tickable): void {
@@ -46,7 +50,8 @@
     if (this.isStopped) return
     clearTimeout(this.timer)
     this.armedFor = at
-    this.timer = setTimeout(() => this.fire(), Math.max(Math.ceil(at - this.clock.now()), 0))
+    const delayMs = Math.ceil(at - this.clock.now())
+    this.timer = setTimeout(() => this.fire(), Math.min(Math.max(delayMs, 0), MAX_TIMER_MS))
   }
 
   private fire (): void {
@@ -54,9 +59,17 @@
     this.armedFor = Infinity
     let next = Infinity
     for (const tickable of this.tickables) {
-      if ((tickable.nextTimerAt() ?? Infinity) <= now) tickable.tick()
+      if ((tickable.nextTimerAt() ?? Infinity) <= now) this.tick(tickable)
       next = Math.min(next, tickable.nextTimerAt() ?? Infinity)
     }
     if (next < this.armedFor) this.arm(next)
   }
+
+  private tick (tickable: Tickable): void {
+    try {
+      tickable.tick()
+    } catch (error) {
+      this.onError(error as Error)
+    }
+  }
 }
--- a/packages/daemon/src/core/upstreams/httpConnection.ts
+++ b/packages/daemon/src/core/upstreams/httpConnection.ts
@@ -1,4 +1,4 @@
-import { connect, type Socket } from 'node:net'
+import { Socket } from 'node:net'
 import type { Readable } from 'node:stream'
 import type { Milliseconds } from '@cowsliplead/core/types/clock.js'
 import { ResponseParser, type ParsedHead } from './responseParser.js'
@@ -117,8 +117,8 @@
   }
 
   private open (): Socket {
-    const { host, port, connectTimeoutMs } = this.options
-    const socket = connect({ host, port, noDelay: true, keepAlive: true, keepAliveInitialDelay: KEEP_ALIVE_PROBE_MS })
+    const { connectTimeoutMs } = this.options
+    const socket = new Socket()
     this.connectTimer = setTimeout(() => this.close(), connectTimeoutMs)
     socket.on('connect', () => this.onConnect())
     socket.on('data', chunk => this.onBytes(chunk))
@@ -127,9 +127,20 @@
       this.wasReset = true
     })
     socket.on('close', () => this.close())
+    this.connect(socket)
     return socket
   }
 
+  /** An address that Node rejects at once ends the connection like one that refuses it. */
+  private connect (socket: Socket): void {
+    const { host, port } = this.options
+    try {
+      socket.connect({ host, port, noDelay: true, keepAlive: true, keepAliveInitialDelay: KEEP_ALIVE_PROBE_MS })
+    } catch (error) {
+      socket.destroy(error as Error)
+    }
+  }
+
   private onConnect (): void {
     clearTimeout(this.connectTimer)
     this.isConnected = true
