Refuse the heads of responses that cannot be passed on

Cause: the parser takes such bytes, read as 7-bit characters, and writeHead throws on them when the call is already finished. The exception was taken for a parse error by the parser's catch, so nobody answered and nothing was logged.

Why it works: the head is checked with Node's own rules where it enters, so such a response is a failed attempt like other invalid ones; heads keep their bytes; and what a handler throws is logged and ends its call with an error response.

--- a/packages/daemon/__tests__/endlessResponses.test.ts
+++ b/packages/daemon/__tests__/endlessResponses.test.ts
@@ -55,6 +55,10 @@
   }
 }
 
+function throwError (error: Error): void {
+  throw error
+}
+
 describe('an upstream that never ends', () => {
   let server: Server
 
@@ -72,7 +76,7 @@
       await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
       const how = await new Promise<string>(resolve => {
         const { port } = server.address() as AddressInfo
-        const connection = HttpConnection.create({ host: '127.0.0.1', port, connectTimeoutMs: 1000, onClose: () => {} })
+        const connection = HttpConnection.create({ host: '127.0.0.1', port, connectTimeoutMs: 1000, onError: throwError, onClose: () => {} })
         connection.send({ method: 'GET', path: '/', headers: [], body: null }, new FailureRecorder(resolve))
       })
       expect(how).to.equal('invalid')
--- a/packages/daemon/__tests__/httpConnection.test.ts
+++ b/packages/daemon/__tests__/httpConnection.test.ts
@@ -45,6 +45,10 @@
   return `HTTP/1.1 200 OK\r\nX-Id: ${id}\r\nContent-Length: ${body.length}\r\n\r\n${body}`
 }
 
+function throwError (error: Error): void {
+  throw error
+}
+
 describe('connections to upstreams', () => {
   let server: Server
   const sockets = new Set<Socket>()
@@ -62,7 +66,7 @@
   }
 
   function connect (): HttpConnection {
-    return HttpConnection.create({ host: '127.0.0.1', port: (server.address() as AddressInfo).port, connectTimeoutMs: 1000, onClose: () => {} })
+    return HttpConnection.create({ host: '127.0.0.1', port: (server.address() as AddressInfo).port, connectTimeoutMs: 1000, onError: throwError, onClose: () => {} })
   }
 
   async function exchange (connection: HttpConnection, recorder = new Recorder()): Promise<Recorder> {
@@ -114,7 +118,12 @@
   const invalid: Array<[string, string]> = [
     ['text that is not HTTP', 'hello\r\n\r\n'],
     ['a chunk size that is not a number', 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\nzz\r\n\r\n'],
-    ['a content length that is not a number', 'HTTP/1.1 200 OK\r\nContent-Length: ten\r\n\r\n0123456789']
+    ['a content length that is not a number', 'HTTP/1.1 200 OK\r\nContent-Length: ten\r\n\r\n0123456789'],
+    ['a control character in a header value', 'HTTP/1.1 200 OK\r\nX-Record: permit\u0001record\r\nContent-Length: 0\r\n\r\n'],
+    ['a control character in a header name', 'HTTP/1.1 200 OK\r\nX-Re\u0001cord: permit\r\nContent-Length: 0\r\n\r\n'],
+    ['a status below the range', 'HTTP/1.1 099 OK\r\nContent-Length: 0\r\n\r\n'],
+    ['a status above the range', 'HTTP/1.1 600 OK\r\nContent-Length: 0\r\n\r\n'],
+    ['a change of the protocol', 'HTTP/1.1 101 Switching Protocols\r\nUpgrade: other\r\nConnection: upgrade\r\n\r\n']
   ]
   for (const [name, bytes] of invalid) {
     // Guards against accepting malformed bytes as a complete response.
@@ -124,9 +133,21 @@
     })
   }
 
+  // Guards against a caller that never gets an answer because an error in the handling of its response is taken for a parse error.
+  it('reports what a handler throws, and fails its exchange', async () => {
+    const errors: string[] = []
+    const { port } = (await listen(socket => socket.write(response('x'))), server.address() as AddressInfo)
+    const connection = HttpConnection.create({ host: '127.0.0.1', port, connectTimeoutMs: 1000, onError: error => errors.push(error.message), onClose: () => {} })
+    const throwing = new Recorder(() => {
+      throw new Error('unexpected')
+    })
+    expect(await (await exchange(connection, throwing)).ended).to.equal('invalid')
+    expect(errors).to.deep.equal(['unexpected'])
+  })
+
   // Guards against an exception in a timer, which ends the process, where the address of an upstream is impossible.
   it('fails as unsent, and not with an exception, if the port is out of range', async () => {
-    const connection = HttpConnection.create({ host: '127.0.0.1', port: 70_000, connectTimeoutMs: 1000, onClose: () => {} })
+    const connection = HttpConnection.create({ host: '127.0.0.1', port: 70_000, connectTimeoutMs: 1000, onError: throwError, onClose: () => {} })
     expect(await (await exchange(connection)).ended).to.equal('unsent')
   })
 
@@ -136,7 +157,7 @@
     expect(await (await exchange(sent)).ended).to.equal('closed')
     const { port } = server.address() as AddressInfo
     await new Promise(resolve => server.close(resolve))
-    const refused = HttpConnection.create({ host: '127.0.0.1', port, connectTimeoutMs: 1000, onClose: () => {} })
+    const refused = HttpConnection.create({ host: '127.0.0.1', port, connectTimeoutMs: 1000, onError: throwError, onClose: () => {} })
     expect(await (await exchange(refused)).ended).to.equal('unsent')
   })
 })
--- a/packages/daemon/src/core/gateway/gateway.ts
+++ b/packages/daemon/src/core/gateway/gateway.ts
@@ -272,13 +272,15 @@
   private createServices (metrics: Metrics, members: FleetMembers): GatewayServices {
     const { clock, tickTimer, settings, eventLog } = this
     const latencyHistogram = metrics.createLatencyHistogram()
+    const onError = (error: Error): void => this.onInternalError('a response', error)
     return GatewayServices.create({
       clock,
       random: this.random,
       tickTimer,
       dialect: this.dependencies.dialect,
       authenticator: this.authenticator,
-      connectionSettings: { connectTimeoutMs: CONNECT_TIMEOUT_MS },
+      connectionSettings: { connectTimeoutMs: CONNECT_TIMEOUT_MS, onError },
+      onError,
       vmId: settings.vmId,
       failureDomain: settings.failureDomain,
       policy: routingPolicyOf(settings, INITIAL_FLEET_SIZE),
--- a/packages/daemon/src/core/gateway/gatewayServices.ts
+++ b/packages/daemon/src/core/gateway/gatewayServices.ts
@@ -43,6 +43,8 @@
   readonly contacts?: ContactObserver & Pick<UpstreamReachability, 'setUpstreams'>
   /** Called when requests are marked as suspect because they crashed an upstream. */
   readonly onSuspects: (marks: readonly SuspectMark[]) => void
+  /** See `ServiceForwarderOptions`. */
+  readonly onError: (error: Error) => void
   /** Called when an upstream says that it is leaving. */
   readonly onLeaving: (upstreamId: string, incarnation: number | undefined) => void
 }
@@ -188,6 +190,7 @@
       tickTimer,
       dialect,
       connections: UpstreamConnections.create(clock, connectionSettings),
+      onError: this.options.onError,
       onSuspects: this.options.onSuspects,
       onLeaving: this.options.onLeaving,
       contacts: this.options.contacts,
--- a/packages/daemon/src/core/upstreams/connectionPool.ts
+++ b/packages/daemon/src/core/upstreams/connectionPool.ts
@@ -27,6 +27,8 @@
   /** A connection on which a response arrived within this time counts as proven to work. */
   readonly provenMs: Milliseconds
   readonly connectTimeoutMs: Milliseconds
+  /** See `HttpConnectionOptions`. */
+  readonly onError: (error: Error) => void
 }
 
 /** Pool of this VM's connections to one upstream. Each carries one request at a time. */
@@ -121,8 +123,8 @@
 
   private open (): Connection | undefined {
     if (this.size >= this.limit) return undefined
-    const { host, port, connectTimeoutMs, clock } = this.options
-    const http = HttpConnection.create({ host, port, connectTimeoutMs, onClose: () => this.removeIdle(connection) })
+    const { host, port, connectTimeoutMs, clock, onError } = this.options
+    const http = HttpConnection.create({ host, port, connectTimeoutMs, onError, onClose: () => this.removeIdle(connection) })
     const connection: Connection = { http, lastResponseAt: 0, idleSince: clock.now(), idleTimeoutMs: undefined }
     return connection
   }
--- a/packages/daemon/src/core/upstreams/httpConnection.ts
+++ b/packages/daemon/src/core/upstreams/httpConnection.ts
@@ -37,6 +37,8 @@
   readonly host: string
   readonly port: number
   readonly connectTimeoutMs: Milliseconds
+  /** Called with what a handler has thrown; its exchange has failed. */
+  readonly onError: (error: Error) => void
   /** Called once when the connection is closed by either side. */
   readonly onClose: () => void
 }
@@ -188,8 +190,16 @@
   private onBytes (chunk: Buffer): void {
     // Unsolicited bytes belong to no request, and neither does anything that follows them on this connection.
     if (this.handler === undefined) return this.close()
-    if (this.parser.parse(chunk)) return
-    this.failExchange('invalid')
+    if (!this.parse(chunk)) this.failExchange('invalid')
+  }
+
+  private parse (chunk: Buffer): boolean {
+    try {
+      return this.parser.parse(chunk)
+    } catch (error) {
+      this.options.onError(error as Error)
+      return false
+    }
   }
 
   private onHead (head: ParsedHead): void {
--- a/packages/daemon/src/core/upstreams/responseParser.ts
+++ b/packages/daemon/src/core/upstreams/responseParser.ts
@@ -1,3 +1,4 @@
+import { validateHeaderName, validateHeaderValue } from 'node:http'
 import { HTTPParser } from 'http-parser-js'
 
 /** Status and headers of a response. */
@@ -22,6 +23,13 @@
  */
 const MAX_FRAMING_BYTES = 64 * 1024
 
+const MIN_STATUS = 100
+const SWITCHING_PROTOCOLS = 101
+const MAX_STATUS = 599
+
+// Callers get header values byte for byte, whatever encoding the upstream uses.
+HTTPParser.encoding = 'latin1'
+
 const CHUNK_HEAD = /^[0-9a-f]{1,8}[ \t]*(;.*)?$/i
 const LENGTH = /^\d{1,15}$/
 
@@ -31,6 +39,9 @@
   consumeLine (): string | undefined
 }
 
+/** A response that violates HTTP, or that is not passed on for another reason. */
+class InvalidResponse extends Error {}
+
 /** Parses the responses on one connection. Interim responses (1xx) are dropped. */
 export class ResponseParser {
   private readonly parser = new HTTPParser('RESPONSE')
@@ -42,6 +53,8 @@
     const { parser } = this
     addChunkSizeValidation(parser as unknown as ChunkHeadState)
     parser[HTTPParser.kOnHeadersComplete] = info => {
+      validateStatus(info.statusCode)
+      validateHeaders(info.headers)
       validateContentLengths(info.headers)
       this.isInterim = info.statusCode < 200
       if (this.isInterim) return 0
@@ -64,13 +77,14 @@
     return new ResponseParser(events, isHead)
   }
 
-  /** Returns false if the bytes are not a valid response, or exceed a limit. */
+  /** Returns false if the bytes are not a valid response, or exceed a limit. Throws what a receiver of the parts throws. */
   parse (chunk: Buffer): boolean {
     this.framingBytes += chunk.length
     try {
       return typeof this.parser.execute(chunk) === 'number' && this.framingBytes <= MAX_FRAMING_BYTES
-    } catch {
-      return false
+    } catch (error) {
+      if (error instanceof InvalidResponse) return false
+      throw error
     }
   }
 
@@ -80,10 +94,26 @@
   }
 }
 
+function validateStatus (status: number): void {
+  if (status < MIN_STATUS || status > MAX_STATUS || status === SWITCHING_PROTOCOLS) throw new InvalidResponse(`invalid status ${status}`)
+}
+
+/** A head that Node refuses to write could not be passed on to the caller. */
+function validateHeaders (headers: readonly string[]): void {
+  try {
+    for (let i = 0; i + 1 < headers.length; i += 2) {
+      validateHeaderName(headers[i] as string)
+      validateHeaderValue(headers[i] as string, headers[i + 1] as string)
+    }
+  } catch (error) {
+    throw new InvalidResponse('invalid header', { cause: error })
+  }
+}
+
 function validateContentLengths (headers: readonly string[]): void {
   for (let i = 0; i + 1 < headers.length; i += 2) {
     if ((headers[i] as string).toLowerCase() !== 'content-length') continue
-    if (!LENGTH.test(headers[i + 1] as string)) throw new Error('invalid content length')
+    if (!LENGTH.test(headers[i + 1] as string)) throw new InvalidResponse('invalid content length')
   }
 }
 
@@ -93,7 +123,7 @@
   parser.BODY_CHUNKHEAD = () => {
     parser.consumeLine = () => {
       const line = consumeLine.call(parser)
-      if (line !== undefined && !CHUNK_HEAD.test(line)) throw new Error('invalid chunk size line')
+      if (line !== undefined && !CHUNK_HEAD.test(line)) throw new InvalidResponse('invalid chunk size line')
       return line
     }
     try {
--- a/packages/daemon/src/core/upstreams/serviceForwarder.ts
+++ b/packages/daemon/src/core/upstreams/serviceForwarder.ts
@@ -32,6 +32,8 @@
   readonly onLeaving?: (upstreamId: string, incarnation: number | undefined) => void
   /** Notified of the events of calls. */
   readonly observer?: CallObserver
+  /** Called with unexpected errors; the call that met one has ended with an error response. */
+  readonly onError: (error: Error) => void
   /** Notified of what reaches upstreams. */
   readonly contacts?: ContactObserver | undefined
 }
@@ -232,7 +234,12 @@
     if (call === undefined) return
     this.calls.delete(callId)
     this.options.observer?.onResult(call, result, this.clock.now() - call.call.arrivedAt, this.dispatcher.waitingCalls, diagnostics)
-    call.finish(result, this.endingAttempt?.bufferedResponse)
+    try {
+      call.finish(result, this.endingAttempt?.bufferedResponse)
+    } catch (error) {
+      this.options.onError(error as Error)
+      call.sink.sendError('internal', '')
+    }
   }
 
   onResponse (attempt: ActiveAttempt, isNewConnection: boolean): void {
--- a/packages/daemon/src/core/upstreams/upstreamConnections.ts
+++ b/packages/daemon/src/core/upstreams/upstreamConnections.ts
@@ -7,6 +7,8 @@
 /** Settings of connections to upstreams. */
 export interface ConnectionSettings {
   readonly connectTimeoutMs: Milliseconds
+  /** See `HttpConnectionOptions`. */
+  readonly onError: (error: Error) => void
 }
 
 /**
@@ -21,10 +23,10 @@
   private policy: RoutingPolicy = DEFAULT_ROUTING_POLICY
   private exceptions = NO_POLICY_EXCEPTIONS.upstreams
 
-  private constructor (private readonly clock: Clock, private readonly limits: ConnectionSettings) {}
+  private constructor (private readonly clock: Clock, private readonly settings: ConnectionSettings) {}
 
-  static create (clock: Clock, limits: ConnectionSettings): UpstreamConnections {
-    return new UpstreamConnections(clock, limits)
+  static create (clock: Clock, settings: ConnectionSettings): UpstreamConnections {
+    return new UpstreamConnections(clock, settings)
   }
 
   /** Number of connections to all upstreams, idle and in use. */
@@ -72,8 +74,7 @@
     // The same id at another address, or with another incarnation, is another process.
     if (existing !== undefined) this.remove(upstream.id)
     const { address: host, port } = upstream
-    const { connectTimeoutMs } = this.limits
-    const pool = ConnectionPool.create({ host, port, clock: this.clock, limit, provenMs, connectTimeoutMs })
+    const pool = ConnectionPool.create({ host, port, clock: this.clock, limit, provenMs, ...this.settings })
     this.pools.set(upstream.id, { origin, pool })
   }
 
