Break long responses without a length off visibly

Cause: the daemon passed such a response on without a length, so that the close of the caller's connection was the only sign of its end, also where the upstream broke off, the stream stalled, the daemon stopped or the VM that had taken the request over was lost.

Why it works: long bodies go to callers in chunks, and the last chunk is sent only when the upstream has ended the body in order; responses without a length that come from another VM are held until they are complete; callers of HTTP/1.0, which know no chunks, get a reset.

--- a/packages/daemon/__tests__/transfer.test.ts
+++ b/packages/daemon/__tests__/transfer.test.ts
@@ -110,6 +110,17 @@
     expect(ends).to.deep.equal(['broken'])
   })
 
+  // Guards against a part of a response without a length, which an orderly close would make look complete.
+  it('ends as unknown if a response without a length breaks off', async () => {
+    const port = await start((_request, response) => {
+      response.writeHead(200, { 'transfer-encoding': 'chunked', 'x-cowsliplead-peer-unframed': '1' })
+      response.write('part')
+      setTimeout(() => response.destroy(), 20)
+    })
+    expect((await call(port, 'POST', '/issues/1')).status).to.equal(502)
+    expect(ends).to.deep.equal(['unknown'])
+  })
+
   // Guards against long bodies that are held in memory or cut off.
   it('streams long bodies in both directions', async () => {
     const port = await start((request, response) => void request.pipe(response))
--- a/packages/daemon/src/core/callers/callerSink.ts
+++ b/packages/daemon/src/core/callers/callerSink.ts
@@ -2,6 +2,7 @@
 import { RESULT_CODES, type ResultCodeName } from '@cowsliplead/core/types/resultCode.js'
 import type { Dialect } from '../../types/dialect.js'
 import { CODE_HEADER, PEER_RESULT_HEADER, PEER_UNFRAMED_HEADER, responseHeaders } from '../../utils/headers.js'
+import { abortResponse } from '../../utils/abortResponse.js'
 import { errorStatus } from '../../utils/errorStatus.js'
 import { hasBody } from './requestBody.js'
 import type { ErrorResponseOptions, ResponseHead, ResponseSink, StreamDecision } from '../../types/responseSink.js'
@@ -57,7 +58,8 @@
   }
 
   startStream (head: ResponseHead, chunks: readonly Buffer[], resume: () => void): StreamDecision {
-    this.response.writeHead(head.status, this.headersFor(head))
+    // Chunks show the caller whether the body is whole, also where only the close of the connection ends the upstream's.
+    this.response.writeHead(head.status, this.headersFor({ ...head, isFramed: true }))
     this.response.on('drain', resume)
     let flowing = true
     for (const chunk of chunks) flowing = this.response.write(chunk)
@@ -73,7 +75,7 @@
   }
 
   abortStream (): void {
-    this.response.destroy()
+    abortResponse(this.response)
   }
 
   sendError (name: ResultCodeName, detail: string, { status = errorStatus(name), retryAfterMs }: ErrorResponseOptions = {}): void {
--- a/packages/daemon/src/core/gateway/callerServer.ts
+++ b/packages/daemon/src/core/gateway/callerServer.ts
@@ -46,10 +46,16 @@
     return listenOn(this.server, this.options.address, onFailure)
   }
 
-  /** Closes the remaining connections immediately; the daemon drains them first. */
+  /**
+   * Closes the remaining connections immediately; the daemon drains them first. Those with a pending request are reset: where
+   * the close ends the body of a response, an orderly one would make the part that was sent look complete.
+   */
   async stop (): Promise<void> {
     this.stopListening()
-    for (const socket of this.sockets) socket.destroy()
+    for (const socket of this.sockets) {
+      if (this.options.proxy.idleMs(socket) === 0) socket.resetAndDestroy()
+      else socket.destroy()
+    }
   }
 
   /** Port that the server listens on. */
--- a/packages/daemon/src/core/handover/callerRelay.ts
+++ b/packages/daemon/src/core/handover/callerRelay.ts
@@ -1,36 +1,56 @@
 import type { ServerResponse } from 'node:http'
 import type { ResponseHead } from '../../types/responseSink.js'
+import { abortResponse } from '../../utils/abortResponse.js'
 import { responseHeaders } from '../../utils/headers.js'
 
 const NO_HEADERS: ReadonlySet<string> = new Set()
 
-/** Passes another VM's response on to a caller, unchanged. */
+/**
+ * Passes another VM's response on to a caller, unchanged. One whose body the caller could not tell from a part of it is held
+ * until it is complete; the other VM has buffered such a response, so it is short.
+ */
 export class CallerRelay {
+  private held: { readonly head: ResponseHead, readonly chunks: Buffer[] } | undefined
+
   private constructor (private readonly response: ServerResponse, private readonly closesConnection: () => boolean) {}
 
   static create (response: ServerResponse, closesConnection: () => boolean): CallerRelay {
     return new CallerRelay(response, closesConnection)
   }
 
+  /** Whether the caller has received nothing yet. */
+  get isUnsent (): boolean {
+    return !this.response.headersSent
+  }
+
   start (head: ResponseHead): void {
-    const headers = responseHeaders(head.rawHeaders, NO_HEADERS)
-    if (this.closesConnection() || !head.isFramed) headers.push('connection', 'close')
-    // The caller's body is delimited in the same way as the upstream's.
-    if (!head.isFramed) this.response.useChunkedEncodingByDefault = false
-    this.response.writeHead(head.status, headers)
+    if (head.isFramed) this.writeHead(head)
+    else this.held = { head, chunks: [] }
   }
 
   /** Returns false to request a pause until the response drains. */
   write (chunk: Buffer): boolean {
-    return this.response.write(chunk)
+    if (this.held === undefined) return this.response.write(chunk)
+    this.held.chunks.push(chunk)
+    return true
   }
 
   end (): void {
-    this.response.end()
+    if (this.held === undefined) return void this.response.end()
+    this.writeHead(this.held.head)
+    this.response.end(Buffer.concat(this.held.chunks))
   }
 
   /** Closes the connection, so that what was sent does not look complete. */
   abort (): void {
-    this.response.destroy()
+    abortResponse(this.response)
+  }
+
+  private writeHead ({ status, rawHeaders, isFramed }: ResponseHead): void {
+    const headers = responseHeaders(rawHeaders, NO_HEADERS)
+    if (this.closesConnection() || !isFramed) headers.push('connection', 'close')
+    // The caller's body is delimited in the same way as the upstream's.
+    if (!isFramed) this.response.useChunkedEncodingByDefault = false
+    this.response.writeHead(status, headers)
   }
 }
--- a/packages/daemon/src/core/handover/transfer.ts
+++ b/packages/daemon/src/core/handover/transfer.ts
@@ -78,9 +78,9 @@
   }
 
   onHead (head: ResponseHead): void {
-    clearTimeout(this.timer)
     this.status = head.status
     this.relay.start(head)
+    if (!this.relay.isUnsent) clearTimeout(this.timer)
   }
 
   onData (chunk: Buffer): boolean {
@@ -107,7 +107,7 @@
 
   onBroken (): void {
     this.avoidReceiver('unreached')
-    if (this.status === undefined) return this.finishUnknown('upstreamFailed')
+    if (this.relay.isUnsent) return this.finishUnknown('upstreamFailed')
     this.relay.abort()
     this.end('broken')
   }
--- a/packages/daemon/src/types/responseSink.ts
+++ b/packages/daemon/src/types/responseSink.ts
@@ -6,7 +6,7 @@
   readonly status: number
   /** Alternating names and values. */
   readonly rawHeaders: readonly string[]
-  /** False if only the close of the connection ends the body; the caller's body is then delimited the same way. */
+  /** False if only the close of the connection ends the body. */
   readonly isFramed: boolean
 }
 
@@ -23,7 +23,7 @@
 
 /** Receives the outcome of a call. */
 export interface ResponseSink {
-  /** Sends a complete response. */
+  /** Sends a complete response; its body is delimited for the caller as it was by the upstream. */
   deliver (head: ResponseHead, body: readonly Buffer[]): void
   /** Sends the first part of a long response; the sink calls `resume` to continue after a pause. */
   startStream (head: ResponseHead, chunks: readonly Buffer[], resume: () => void): StreamDecision
