Do not read the head of a response as the end of a stray one

Cause: the parser kept the beginning of a stray response: bytes in the same read as the end of the response before, or bytes that came while the next request waited. It joined them with the next head, whose id was right and whose status was then the one of the stray.

Why it works: bytes beyond a response close the connection, a head with a line that is no header line or with a status line inside is invalid, and a connection with a stray response serves no further request.

--- a/packages/daemon/__tests__/httpConnection.test.ts
+++ b/packages/daemon/__tests__/httpConnection.test.ts
@@ -1,4 +1,5 @@
 import { createServer, type AddressInfo, type Server, type Socket } from 'node:net'
+import { PassThrough } from 'node:stream'
 import { expect } from 'chai'
 import { HttpConnection, type ExchangeHandler, type ExchangeFailure, type OutgoingRequest } from '../src/core/upstreams/httpConnection.js'
 import type { ParsedHead } from '../src/core/upstreams/responseParser.js'
@@ -90,6 +91,28 @@
     expect([recorder.body, await recorder.ended]).to.deep.equal(['second', 'complete'])
   })
 
+  // Guards against a streamed body that is not sent to its end because a stray response arrives meanwhile.
+  it('goes on sending a body when a stray response arrives', async () => {
+    const body = new PassThrough()
+    let received = ''
+    const connection = await listen((socket, count) => {
+      if (count === 1) socket.write(response('first'))
+    })
+    await exchange(connection)
+    for (const socket of sockets) socket.on('data', chunk => (received += chunk.toString()))
+    const recorder = new Recorder(({ rawHeaders }) => rawHeaders.includes('own'))
+    connection.send({ ...GET, method: 'POST', body }, recorder)
+    body.write('one')
+    for (const socket of sockets) socket.write(response('stray', 'other'))
+    await new Promise(resolve => setTimeout(resolve, 20))
+    body.end('two')
+    await new Promise(resolve => setTimeout(resolve, 20))
+    expect(received).to.include('two')
+    for (const socket of sockets) socket.write(response('second'))
+    expect(await recorder.ended).to.equal('complete')
+    expect([recorder.body, connection.isReusable]).to.deep.equal(['second', false])
+  })
+
   // Guards against reusing a connection on which unsolicited bytes arrived.
   it('is not reusable after bytes beyond the response', async () => {
     const connection = await listen(socket => socket.write(response('whole') + response('more')))
--- a/packages/daemon/src/core/upstreams/httpConnection.ts
+++ b/packages/daemon/src/core/upstreams/httpConnection.ts
@@ -62,6 +62,8 @@
   private isSkipping = false
   /** Bytes of responses skipped in this exchange. */
   private skippedBytes = 0
+  /** Whether a stray response has arrived: more of them may follow, also cut ones, so this exchange is the last. */
+  private hasSkipped = false
   private isClosing = false
   private isClosed = false
   private wasReset = false
@@ -73,7 +75,7 @@
     this.parser = ResponseParser.create({
       onHead: head => this.onHead(head),
       onData: chunk => this.onData(chunk),
-      onComplete: () => this.onComplete()
+      onComplete: hasMore => this.onComplete(hasMore)
     }, () => this.request?.method === 'HEAD')
     this.socket = this.open()
   }
@@ -85,7 +87,7 @@
 
   /** Whether another exchange may be started. */
   get isReusable (): boolean {
-    return !this.isClosing && this.handler === undefined
+    return !this.isClosing && !this.hasSkipped && this.handler === undefined
   }
 
   /** Whether an earlier exchange on this connection was completed; only then can a stray response arrive. */
@@ -207,6 +209,7 @@
     if (handler === undefined) return this.close()
     if (!head.keepsConnection) this.isClosing = true
     this.isSkipping = handler.onHead(head) === 'skip'
+    if (this.isSkipping) this.hasSkipped = true
   }
 
   private onData (chunk: Buffer): void {
@@ -221,7 +224,7 @@
     if (this.skippedBytes > MAX_SKIPPED_BYTES) this.failExchange('invalid')
   }
 
-  private onComplete (): void {
+  private onComplete (hasMore: boolean): void {
     const { handler } = this
     if (handler === undefined) return
     this.completed += 1
@@ -233,8 +236,9 @@
     this.request = undefined
     // The last chunk of the response may have paused reading, which nothing else would resume.
     this.socket.resume()
-    // The upstream would read the rest of an unfinished request body as the next request.
-    if (this.isUploading || this.isClosing) this.close()
+    // The upstream would read the rest of an unfinished request body as the next request, and the parser would take bytes
+    // beyond the response for the beginning of the next one.
+    if (this.isUploading || this.isClosing || this.hasSkipped || hasMore) this.close()
     handler.onComplete()
   }
 
--- a/packages/daemon/src/core/upstreams/responseParser.ts
+++ b/packages/daemon/src/core/upstreams/responseParser.ts
@@ -14,7 +14,8 @@
 export interface ParserEvents {
   onHead (head: ParsedHead): void
   onData (chunk: Buffer): void
-  onComplete (): void
+  /** `hasMore`: the bytes being parsed go on beyond the end of the response. */
+  onComplete (hasMore: boolean): void
 }
 
 /**
@@ -30,13 +31,27 @@
 // Callers get header values byte for byte, whatever encoding the upstream uses.
 HTTPParser.encoding = 'latin1'
 
+/** A header line begins with a token (RFC 9110 section 5.6.2). */
+const HEADER_LINE = /^[\w!#$%&'*+.^`|~-]+:/
+const CONTINUATION_LINE = /^[ \t]/
+
+/** The beginning of another response within a line: what came before was only the beginning of a stray one. */
+const STATUS_LINE_WITHIN = /HTTP\/1\.[01] \d{3}/
+
 const CHUNK_HEAD = /^[0-9a-f]{1,8}[ \t]*(;.*)?$/i
 const LENGTH = /^\d{1,15}$/
 
-/** Internals of `HTTPParser`, which treats any chunk-size line that is not a number as the end of the body. */
-interface ChunkHeadState {
+/**
+ * Internals of `HTTPParser`. It treats any chunk-size line that is not a number as the end of the body, and skips lines of
+ * a head that are no header lines.
+ */
+interface ParserInternals {
   BODY_CHUNKHEAD (): void
   consumeLine (): string | undefined
+  parseHeader (line: string, headers: string[]): void
+  /** Position in the bytes being parsed, and their end. */
+  readonly offset: number
+  readonly end: number
 }
 
 /** A response that violates HTTP, or that is not passed on for another reason. */
@@ -51,9 +66,11 @@
 
   private constructor (events: ParserEvents, isHead: () => boolean) {
     const { parser } = this
-    addChunkSizeValidation(parser as unknown as ChunkHeadState)
+    const internals = parser as unknown as ParserInternals
+    addChunkSizeValidation(internals)
+    addHeaderLineValidation(internals)
     parser[HTTPParser.kOnHeadersComplete] = info => {
-      validateStatus(info.statusCode)
+      validateStatusLine(info.statusCode, info.statusMessage)
       validateHeaders(info.headers)
       validateContentLengths(info.headers)
       this.isInterim = info.statusCode < 200
@@ -68,7 +85,7 @@
     parser[HTTPParser.kOnMessageComplete] = () => {
       if (this.isInterim) return
       this.framingBytes = 0
-      events.onComplete()
+      events.onComplete(internals.offset < internals.end)
     }
   }
 
@@ -94,8 +111,9 @@
   }
 }
 
-function validateStatus (status: number): void {
+function validateStatusLine (status: number, reason: string): void {
   if (status < MIN_STATUS || status > MAX_STATUS || status === SWITCHING_PROTOCOLS) throw new InvalidResponse(`invalid status ${status}`)
+  if (STATUS_LINE_WITHIN.test(reason)) throw new InvalidResponse('a status line within a status line')
 }
 
 /** A head that Node refuses to write could not be passed on to the caller. */
@@ -104,6 +122,7 @@
     for (let i = 0; i + 1 < headers.length; i += 2) {
       validateHeaderName(headers[i] as string)
       validateHeaderValue(headers[i] as string, headers[i + 1] as string)
+      if (STATUS_LINE_WITHIN.test(headers[i + 1] as string)) throw new Error('a status line within a header')
     }
   } catch (error) {
     throw new InvalidResponse('invalid header', { cause: error })
@@ -117,7 +136,16 @@
   }
 }
 
-function addChunkSizeValidation (parser: ChunkHeadState): void {
+function addHeaderLineValidation (parser: ParserInternals): void {
+  const { parseHeader } = parser
+  parser.parseHeader = (line, headers) => {
+    const isContinuation = headers.length > 0 && CONTINUATION_LINE.test(line)
+    if (!HEADER_LINE.test(line) && !isContinuation) throw new InvalidResponse('invalid header line')
+    parseHeader.call(parser, line, headers)
+  }
+}
+
+function addChunkSizeValidation (parser: ParserInternals): void {
   const { consumeLine } = parser
   const readChunkHead = parser.BODY_CHUNKHEAD
   parser.BODY_CHUNKHEAD = () => {
