Do not take a copy of an earlier refusal for the refusal of a request

Cause: a refusal without an id was accepted on any connection, also where a probe had been refused before, whose copy has no id either. And a second attempt of a request could use the connection of the first, where a copy has the same id.

Why it works: a copy has the id of its exchange or none; the attempts of a request use different connections, and refusals without an id count only where no other response without an id was.

--- a/packages/daemon/__tests__/httpConnection.test.ts
+++ b/packages/daemon/__tests__/httpConnection.test.ts
@@ -3,6 +3,7 @@
 import { expect } from 'chai'
 import { HttpConnection, type ExchangeHandler, type ExchangeFailure, type OutgoingRequest } from '../src/core/upstreams/httpConnection.js'
 import type { ParsedHead } from '../src/core/upstreams/responseParser.js'
+import { waitUntil } from './harness.js'
 
 const GET: OutgoingRequest = { method: 'GET', path: '/', headers: ['X-Id', '1'], body: null }
 
@@ -104,10 +105,9 @@
     connection.send({ ...GET, method: 'POST', body }, recorder)
     body.write('one')
     for (const socket of sockets) socket.write(response('stray', 'other'))
-    await new Promise(resolve => setTimeout(resolve, 20))
+    await waitUntil(() => recorder.heads.length > 0)
     body.end('two')
-    await new Promise(resolve => setTimeout(resolve, 20))
-    expect(received).to.include('two')
+    await waitUntil(() => received.includes('two'))
     for (const socket of sockets) socket.write(response('second'))
     expect(await recorder.ended).to.equal('complete')
     expect([recorder.body, connection.isReusable]).to.deep.equal(['second', false])
--- a/packages/daemon/src/core/callers/activeCall.ts
+++ b/packages/daemon/src/core/callers/activeCall.ts
@@ -4,6 +4,7 @@
 import type { Dialect } from '../../types/dialect.js'
 import type { ResponseSink } from '../../types/responseSink.js'
 import type { AttemptRequest, BufferedResponse } from '../upstreams/activeAttempt.js'
+import type { Connection } from '../upstreams/connectionPool.js'
 
 /** The part of a call's request that all attempts share. */
 export interface CallRequest {
@@ -21,6 +22,8 @@
   private attempts = 0
   /** Attempts for which no connection could be established. */
   unconnectedAttempts = 0
+  /** Connections that carried attempts of the call. */
+  readonly usedConnections = new Set<Connection>()
   /** The attempt whose response is being streamed to the caller. */
   streamingAttemptId: number | undefined
 
--- a/packages/daemon/src/core/upstreams/activeAttempt.ts
+++ b/packages/daemon/src/core/upstreams/activeAttempt.ts
@@ -121,13 +121,14 @@
   }
 
   onHead (head: ParsedHead): 'accept' | 'skip' {
-    const { dialect, request } = this.options
+    const { dialect } = this.options
     const now = this.options.clock.now()
     const metadata = dialect.readResponseMetadata(head.status, head.rawHeaders, now)
     this.options.observer.onResponse(this, this.connection.lastResponseAt === 0)
     this.connection.lastResponseAt = now
     this.connection.idleTimeoutMs = metadata.idleTimeoutMs
-    if (!answersAttempt(metadata, request.echoedId)) return this.onMismatchedHead()
+    if (!this.answersAttempt(metadata)) return this.onMismatchedHead()
+    if (metadata.echoedId === undefined) this.connection.hadResponseWithoutId = true
     this.report = metadata.report
     this.notifyOfRate(metadata)
     this.retryAfterMs = pauseOf(metadata)
@@ -168,7 +169,16 @@
   }
 
   /**
-   * Handles a response with another id. On a reused connection it is a late extra response to an earlier request, and
+   * An upstream that states that it did not run the request may not have read it, so it need not echo the id. On a connection
+   * that has carried another response without an id, it may be a second copy of that one.
+   */
+  private answersAttempt ({ echoedId, notRun }: ResponseMetadata): boolean {
+    if (echoedId !== undefined) return echoedId === this.options.request.echoedId
+    return notRun && !this.connection.hadResponseWithoutId
+  }
+
+  /**
+   * Handles a response with another id, or one without that cannot be told from a copy. On a reused connection it is a late extra response to an earlier request, and
    * the expected one still follows. On a new connection no other response can follow, so the attempt fails.
    */
   private onMismatchedHead (): 'accept' | 'skip' {
@@ -231,8 +241,3 @@
     this.options.observer.onEnd(this, end)
   }
 }
-
-/** An upstream that states that it did not run the request may not have read it, so it need not echo the id. */
-function answersAttempt (metadata: ResponseMetadata, echoedId: string): boolean {
-  return metadata.echoedId === echoedId || (metadata.echoedId === undefined && metadata.notRun)
-}
--- a/packages/daemon/src/core/upstreams/connectionPool.ts
+++ b/packages/daemon/src/core/upstreams/connectionPool.ts
@@ -16,6 +16,16 @@
   idleSince: Milliseconds
   /** Idle timeout that the upstream announced; undefined if it announced none. */
   idleTimeoutMs: Milliseconds | undefined
+  /** Whether it has carried a response without an id, of which a second copy would have no id either. */
+  hadResponseWithoutId: boolean
+}
+
+/** What a request needs of its connection. */
+export interface ConnectionNeeds {
+  /** It is a proven or a new one. */
+  readonly proven: boolean
+  /** Connections that carried earlier attempts of the same request: a late copy of such a response has the expected id. */
+  readonly excluded?: ReadonlySet<Connection>
 }
 
 /** Options of a connection pool. */
@@ -61,11 +71,10 @@
     while (this.size > limit && this.idle.length > 0) this.destroy(this.idle.shift() as Connection)
   }
 
-  /** Acquires a connection for one request; undefined at the limit. With `proven`, it is a proven or a new one. */
-  acquire (proven: boolean): Connection | undefined {
+  /** Acquires a connection for one request; undefined at the limit. */
+  acquire (needs: ConnectionNeeds): Connection | undefined {
     this.closeExpired()
-    const connection = proven ? this.acquireProven() : this.idle.pop()
-    const acquired = connection ?? this.open()
+    const acquired = this.takeIdle(needs) ?? this.open()
     if (acquired !== undefined) this.busy.add(acquired)
     return acquired
   }
@@ -108,11 +117,11 @@
     }
   }
 
-  private acquireProven (): Connection | undefined {
-    const oldest = this.options.clock.now() - this.provenMs
+  private takeIdle ({ proven, excluded }: ConnectionNeeds): Connection | undefined {
+    const oldest = proven ? this.options.clock.now() - this.provenMs : -Infinity
     for (let i = this.idle.length - 1; i >= 0; i--) {
       const connection = this.idle[i] as Connection
-      if (connection.lastResponseAt < oldest) continue
+      if (connection.lastResponseAt < oldest || excluded?.has(connection) === true) continue
       this.idle.splice(i, 1)
       return connection
     }
@@ -125,7 +134,7 @@
     if (this.size >= this.limit) return undefined
     const { host, port, connectTimeoutMs, clock, onError } = this.options
     const http = HttpConnection.create({ host, port, connectTimeoutMs, onError, onClose: () => this.removeIdle(connection) })
-    const connection: Connection = { http, lastResponseAt: 0, idleSince: clock.now(), idleTimeoutMs: undefined }
+    const connection: Connection = { http, lastResponseAt: 0, idleSince: clock.now(), idleTimeoutMs: undefined, hadResponseWithoutId: false }
     return connection
   }
 
--- a/packages/daemon/src/core/upstreams/serviceForwarder.ts
+++ b/packages/daemon/src/core/upstreams/serviceForwarder.ts
@@ -200,13 +200,14 @@
   startAttempt (attempt: Attempt): void {
     const call = this.calls.get(attempt.callId)
     const connections = this.connections.poolFor(attempt.upstreamId)
-    const connection = call && connections?.acquire(attempt.provenConnection)
+    const connection = call && connections?.acquire({ proven: attempt.provenConnection, excluded: call.usedConnections })
     this.counters.countAttempt(attempt.purpose)
     if (call === undefined || connections === undefined || connection === undefined) {
       return this.endUnstarted(attempt.id)
     }
     const now = this.clock.now()
     const { clock, options: { dialect } } = this
+    call.usedConnections.add(connection)
     const request = call.nextAttempt(attempt.upstreamId, attempt.deadlineAt, now)
     const activeAttempt = ActiveAttempt.create({
       attemptId: attempt.id, callId: attempt.callId, connection, request, observer: this, clock, dialect
@@ -286,7 +287,7 @@
   sendProbe (upstreamId: string): void {
     const { clock, options: { dialect, contacts }, healthPath } = this
     const connections = this.connections.poolFor(upstreamId)
-    const connection = connections?.acquire(false)
+    const connection = connections?.acquire({ proven: false })
     if (connections === undefined || connection === undefined) return
     const isNewConnection = connection.lastResponseAt === 0
     contacts?.onStart(connection, upstreamId, 'probe')
--- a/packages/daemon/src/core/upstreams/upstreamProbe.ts
+++ b/packages/daemon/src/core/upstreams/upstreamProbe.ts
@@ -51,6 +51,7 @@
   static send (options: UpstreamProbeOptions, done: (result: ProbeResult) => void): void {
     const { connection, path, dialect, upstreamId } = options
     const probe = new UpstreamProbe(options, done)
+    connection.hadResponseWithoutId = true
     connection.http.send({ method: 'GET', path, headers: dialect.probeHeaders(upstreamId), body: null }, probe)
   }
 
