Refuse responses whose framing contradicts itself

Cause: the parser prefers chunks and takes an unknown transfer encoding for no framing, while the daemon treats the response as framed by either header.

Evidence: five new cases of httpConnection.test.ts fail on the code before. Nine tests that cut a response at every byte pass on both: an upstream that stops in its head is not taken for a whole response here.

Why it works: a response whose end is not certain is invalid.

--- a/packages/daemon/__tests__/httpConnection.test.ts
+++ b/packages/daemon/__tests__/httpConnection.test.ts
@@ -146,6 +146,11 @@
     ['a control character in a header name', 'HTTP/1.1 200 OK\r\nX-Re\u0001cord: permit\r\nContent-Length: 0\r\n\r\n'],
     ['a status below the range', 'HTTP/1.1 099 OK\r\nContent-Length: 0\r\n\r\n'],
     ['a status above the range', 'HTTP/1.1 600 OK\r\nContent-Length: 0\r\n\r\n'],
+    ['a length beside chunks', 'HTTP/1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n'],
+    ['two lengths', 'HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 3\r\n\r\nabc'],
+    ['an unknown transfer encoding', 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunkee\r\n\r\n3\r\nabc\r\n0\r\n\r\n'],
+    ['several transfer encodings', 'HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n'],
+    ['two transfer encodings', 'HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n'],
     ['a change of the protocol', 'HTTP/1.1 101 Switching Protocols\r\nUpgrade: other\r\nConnection: upgrade\r\n\r\n']
   ]
   for (const [name, bytes] of invalid) {
@@ -174,6 +179,24 @@
     expect(await (await exchange(connection)).ended).to.equal('unsent')
   })
 
+  const FRAMINGS = ['Content-Length: 3\r\n\r\nabc', 'Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n', 'Connection: close\r\n\r\n']
+  for (const framing of FRAMINGS) {
+    for (const method of ['GET', 'POST', 'HEAD']) {
+      // Guards against a part of a response that is delivered as a whole one, with an empty or a short body.
+      it(`does not complete a cut response to ${method} with ${framing.split('\r\n', 1)[0]}`, async () => {
+        const whole = `HTTP/1.1 200 OK\r\nX-Id: own\r\n${framing}`
+        const length = method === 'HEAD' ? whole.indexOf('\r\n\r\n') + 4 : whole.length
+        let cut = 0
+        await listen(socket => socket.end(whole.slice(0, cut)))
+        for (; cut < length; cut++) {
+          const recorder = new Recorder()
+          connect().send({ ...GET, method }, recorder)
+          expect([cut, await recorder.ended]).to.deep.equal([cut, 'closed'])
+        }
+      })
+    }
+  }
+
   // Guards against reporting a sent request as not run, and an unsent one as having an unknown outcome.
   it('distinguishes a refused connection from one that closed after the request was sent', async () => {
     const sent = await listen(socket => socket.destroy())
--- a/packages/daemon/src/core/upstreams/responseParser.ts
+++ b/packages/daemon/src/core/upstreams/responseParser.ts
@@ -72,7 +72,7 @@
     parser[HTTPParser.kOnHeadersComplete] = info => {
       validateStatusLine(info.statusCode, info.statusMessage)
       validateHeaders(info.headers)
-      validateContentLengths(info.headers)
+      validateFraming(info.headers)
       this.isInterim = info.statusCode < 200
       if (this.isInterim) return 0
       events.onHead({ status: info.statusCode, rawHeaders: info.headers, keepsConnection: info.shouldKeepAlive })
@@ -129,11 +129,17 @@
   }
 }
 
-function validateContentLengths (headers: readonly string[]): void {
+/** Only a response whose end is stated at most once, by a length or by chunks, has a certain end (RFC 9112 section 6.3). */
+function validateFraming (headers: readonly string[]): void {
+  const framings: string[] = []
   for (let i = 0; i + 1 < headers.length; i += 2) {
-    if ((headers[i] as string).toLowerCase() !== 'content-length') continue
-    if (!LENGTH.test(headers[i + 1] as string)) throw new InvalidResponse('invalid content length')
+    const name = (headers[i] as string).toLowerCase()
+    const value = headers[i + 1] as string
+    if (name === 'content-length' && !LENGTH.test(value)) throw new InvalidResponse('invalid content length')
+    if (name === 'transfer-encoding' && value.toLowerCase() !== 'chunked') throw new InvalidResponse('unknown transfer encoding')
+    if (name === 'content-length' || name === 'transfer-encoding') framings.push(name)
   }
+  if (framings.length > 1) throw new InvalidResponse(`several framings: ${framings.join()}`)
 }
 
 function addHeaderLineValidation (parser: ParserInternals): void {
