--- a/packages/core/__tests__/dispatcher.test.ts
+++ b/packages/core/__tests__/dispatcher.test.ts
@@ -16,11 +16,13 @@
   { kind: LOOKUP, end: 'failed', retried: true, result: 'outcomeUnknown' },
   { kind: LOOKUP, end: 'crossed', retried: true, result: 'outcomeUnknown' },
   { kind: LOOKUP, end: 'truncated', retried: true, result: 'outcomeUnknown' },
+  { kind: LOOKUP, end: 'unsigned', retried: true, result: 'outcomeUnknown' },
   { kind: LOOKUP, end: 'crashed', retried: true, result: 'outcomeUnknown' },
   { kind: FEE, end: 'notRun', retried: true, result: 'notRun' },
   { kind: FEE, end: 'failed', retried: false, result: 'outcomeUnknown' },
   { kind: FEE, end: 'crossed', retried: false, result: 'outcomeUnknown' },
   { kind: FEE, end: 'truncated', retried: false, result: 'outcomeUnknown' },
+  { kind: FEE, end: 'unsigned', retried: false, result: 'outcomeUnknown' },
   { kind: FEE, end: 'crashed', retried: false, result: 'outcomeUnknown' }
 ]
 
--- a/packages/core/src/core/dispatch/attemptEnds.ts
+++ b/packages/core/src/core/dispatch/attemptEnds.ts
@@ -8,6 +8,7 @@
   failed: 'upstreamFailed',
   crossed: 'answerCrossed',
   truncated: 'answerTruncated',
+  unsigned: 'upstreamFailed',
   crashed: 'upstreamFailed',
   cancelled: 'upstreamFailed'
 }
--- a/packages/core/src/types/dispatch.ts
+++ b/packages/core/src/types/dispatch.ts
@@ -69,6 +69,7 @@
   | 'failed'
   | 'crossed'
   | 'truncated'
+  | 'unsigned'
   | 'crashed'
   | 'cancelled'
 
--- a/packages/daemon/src/core/productDialect.ts
+++ b/packages/daemon/src/core/productDialect.ts
@@ -61,6 +61,7 @@
       echoedId: findHeader(rawHeaders, REQUEST_ID_HEADER),
       notRun: status === 503 && findHeader(rawHeaders, NOT_RUN_HEADER) === '1',
       isFromOtherUpstream: false,
+      isUnsigned: false,
       report: parseLoadReport(findHeader(rawHeaders, LOAD_REPORT_HEADER), now),
       rateNotice: parseRateNotice(findHeader(rawHeaders, REQUEST_RATE_HEADER)),
       idleTimeoutMs: keepAliveMs(rawHeaders),
--- a/packages/daemon/src/core/upstreams/activeAttempt.ts
+++ b/packages/daemon/src/core/upstreams/activeAttempt.ts
@@ -136,6 +136,7 @@
     const isFramed = this.hasFraming(head)
     this.head = { status: head.status, rawHeaders: head.rawHeaders, isFramed }
     if (metadata.notRun) this.stage = 'refused'
+    else if (metadata.isUnsigned) this.fail('unsigned')
     else if (isFramed || this.mayAcceptCloseDelimited()) this.startBody(head.rawHeaders)
     else this.fail('truncated')
     return 'accept'
@@ -230,7 +231,7 @@
     this.options.observer.onRateNotice(this, rateNotice)
   }
 
-  private fail (kind: 'crossed' | 'truncated'): void {
+  private fail (kind: 'crossed' | 'truncated' | 'unsigned'): void {
     this.connection.http.destroy()
     this.finish({ kind })
   }
--- a/packages/daemon/src/types/dialect.ts
+++ b/packages/daemon/src/types/dialect.ts
@@ -29,6 +29,8 @@
   readonly notRun: boolean
   /** A different upstream answers at this address. */
   readonly isFromOtherUpstream: boolean
+  /** A signature is missing that upstreams add to such a response; the response is not one that they gave. */
+  readonly isUnsigned: boolean
   readonly report: LoadReport | undefined
   /** Undefined if what the response says about the upstream's request rate cannot be used. */
   readonly rateNotice: RateNotice | undefined
