Split the connections to upstreams by jobs

The observer of calls, the load probes, the validation of responses and the encoding of requests have files of their own; the search for a header stood three times. Nothing else changes.

--- a/packages/daemon/__tests__/httpConnection.test.ts
+++ b/packages/daemon/__tests__/httpConnection.test.ts
@@ -1,7 +1,8 @@
 import { createServer, type AddressInfo, type Server, type Socket } from 'node:net'
 import { PassThrough } from 'node:stream'
 import { expect } from 'chai'
-import { HttpConnection, type ExchangeHandler, type ExchangeFailure, type OutgoingRequest } from '../src/core/upstreams/httpConnection.js'
+import { HttpConnection, type ExchangeHandler, type ExchangeFailure } from '../src/core/upstreams/httpConnection.js'
+import type { OutgoingRequest } from '../src/core/upstreams/outgoingRequest.js'
 import type { ParsedHead } from '../src/core/upstreams/responseParser.js'
 import { waitUntil } from './harness.js'
 
--- a/packages/daemon/src/core/callers/callerSink.ts
+++ b/packages/daemon/src/core/callers/callerSink.ts
@@ -1,7 +1,7 @@
 import type { ServerResponse } from 'node:http'
 import { RESULT_CODES, type ResultCodeName } from '@cowsliplead/core/types/resultCode.js'
 import type { Dialect } from '../../types/dialect.js'
-import { CODE_HEADER, PEER_RESULT_HEADER, PEER_UNFRAMED_HEADER, responseHeaders } from '../../utils/headers.js'
+import { CODE_HEADER, PEER_RESULT_HEADER, PEER_UNFRAMED_HEADER, findHeader, responseHeaders } from '../../utils/headers.js'
 import { abortResponse } from '../../utils/abortResponse.js'
 import { errorStatus } from '../../utils/errorStatus.js'
 import { hasBody } from './requestBody.js'
@@ -37,7 +37,7 @@
 
   deliver (head: ResponseHead, body: readonly Buffer[]): void {
     const headers = this.headersFor(head)
-    if (head.isFramed && !hasContentLength(headers) && this.mayHaveBody(head.status)) headers.push('content-length', String(totalLength(body)))
+    if (head.isFramed && findHeader(headers, 'content-length') === undefined && this.mayHaveBody(head.status)) headers.push('content-length', String(totalLength(body)))
     this.response.writeHead(head.status, headers)
     const fullBody = body.length === 1 ? body[0] as Buffer : Buffer.concat(body)
     if (fullBody.length <= MAX_SINGLE_WRITE_BODY_BYTES && this.mayHaveBody(head.status)) this.endWithSingleWrite(fullBody)
@@ -115,13 +115,6 @@
   }
 }
 
-function hasContentLength (headers: readonly string[]): boolean {
-  for (let i = 0; i < headers.length; i += 2) {
-    if ((headers[i] as string).toLowerCase() === 'content-length') return true
-  }
-  return false
-}
-
 function totalLength (chunks: readonly Buffer[]): number {
   return chunks.reduce((sum, chunk) => sum + chunk.length, 0)
 }
--- a/packages/daemon/src/core/gateway/callLog.ts
+++ b/packages/daemon/src/core/gateway/callLog.ts
@@ -3,7 +3,7 @@
 import type { Attempt, SelectionSnapshot, AttemptEnd, CallResult, CancelReason, RateLimitChange, ReservationChange, ResultDiagnostics, UpstreamSignal } from '@cowsliplead/core/types/dispatch.js'
 import type { ActiveAttempt } from '../upstreams/activeAttempt.js'
 import type { ActiveCall } from '../callers/activeCall.js'
-import type { CallObserver } from '../upstreams/serviceForwarder.js'
+import type { CallObserver } from '../upstreams/callObserver.js'
 import type { EventLog } from './eventLog.js'
 
 /** Logs the routing decisions and the result of each request of one service, and records latencies. */
--- a/packages/daemon/src/core/upstreams/httpConnection.ts
+++ b/packages/daemon/src/core/upstreams/httpConnection.ts
@@ -1,17 +1,10 @@
 import { Socket } from 'node:net'
 import type { Readable } from 'node:stream'
 import type { Milliseconds } from '@cowsliplead/core/types/clock.js'
+import { findHeader } from '../../utils/headers.js'
+import { encodeHead, type OutgoingRequest } from './outgoingRequest.js'
 import { ResponseParser, type ParsedHead } from './responseParser.js'
 
-/** A request to an upstream. */
-export interface OutgoingRequest {
-  readonly method: string
-  readonly path: string
-  /** Alternating names and values; `content-length` is the only framing header among them. */
-  readonly headers: readonly string[]
-  readonly body: Buffer | Readable | null
-}
-
 /**
  * Why an exchange failed. `unsent`: no byte of the request was sent. `invalid`: the bytes received are not a valid
  * response. `closed`: the connection ended, was reset or timed out.
@@ -159,7 +152,7 @@
       socket.write(body === null || body.length === 0 ? head : Buffer.concat([head, body]))
     } else {
       socket.write(head)
-      this.upload(body, !hasHeader(request.headers, 'content-length'))
+      this.upload(body, findHeader(request.headers, 'content-length') === undefined)
     }
     handler?.onSent()
   }
@@ -268,23 +261,3 @@
     handler?.onFailure(this.isConnected ? 'closed' : 'unsent')
   }
 }
-
-function encodeHead (request: OutgoingRequest, authority: string): string {
-  const { method, path, headers, body } = request
-  let head = `${method} ${path} HTTP/1.1\r\n`
-  if (!hasHeader(headers, 'host')) head += `Host: ${authority}\r\n`
-  for (let i = 0; i + 1 < headers.length; i += 2) head += `${headers[i]}: ${headers[i + 1]}\r\n`
-  if (!hasHeader(headers, 'content-length')) {
-    if (Buffer.isBuffer(body)) head += `Content-Length: ${body.length}\r\n`
-    else if (body !== null) head += 'Transfer-Encoding: chunked\r\n'
-  }
-  return `${head}Connection: keep-alive\r\n\r\n`
-}
-
-function hasHeader (headers: readonly string[], name: string): boolean {
-  for (let i = 0; i < headers.length; i += 2) {
-    const candidate = headers[i] as string
-    if (candidate.length === name.length && candidate.toLowerCase() === name) return true
-  }
-  return false
-}
--- a/packages/daemon/src/core/upstreams/serviceForwarder.ts
+++ b/packages/daemon/src/core/upstreams/serviceForwarder.ts
@@ -3,7 +3,7 @@
 import type { SuspectMark } from '@cowsliplead/core/types/suspectMark.js'
 import type { PolicyExceptions, RoutingPolicy } from '@cowsliplead/core/types/routingPolicy.js'
 import type { RateNotice, ResponseSignals, Upstream } from '@cowsliplead/core/types/upstream.js'
-import type { ContactFailure, UpstreamReachability } from '@cowsliplead/core/core/handover/upstreamReachability.js'
+import type { ContactFailure } from '@cowsliplead/core/core/handover/upstreamReachability.js'
 import type { Dispatcher } from '@cowsliplead/core/core/dispatch/dispatcher.js'
 import type { ResponseHead, StreamDecision } from '../../types/responseSink.js'
 import type { Dialect } from '../../types/dialect.js'
@@ -11,13 +11,11 @@
 import type { ActiveCall } from '../callers/activeCall.js'
 import { UpstreamConnections } from './upstreamConnections.js'
 import type { ConnectionPool } from './connectionPool.js'
-import { UpstreamProbe, type ProbeReport } from './upstreamProbe.js'
+import type { CallObserver } from './callObserver.js'
+import { LoadProber, type ContactObserver } from './loadProber.js'
 import { ServiceCounters } from './serviceCounters.js'
 import type { TickTimer } from '../supervision/tickTimer.js'
 
-/** Notified of the contact with the upstreams of all services; see `UpstreamReachability`. */
-export type ContactObserver = Pick<UpstreamReachability, 'onStart' | 'onResponse' | 'onEnd'>
-
 /** Options of a service forwarder. */
 export interface ServiceForwarderOptions {
   readonly service: string
@@ -38,22 +36,6 @@
   readonly contacts?: ContactObserver | undefined
 }
 
-/** Receives the events of a service's calls. */
-export interface CallObserver {
-  onAttempt (call: ActiveCall, attempt: Attempt): void
-  onAttemptEnd (call: ActiveCall, attempt: ActiveAttempt, end: AttemptEnd, tookMs: Milliseconds): void
-  onCancel (call: ActiveCall, attempt: ActiveAttempt, reason: CancelReason, tookMs: Milliseconds): void
-  onResult (call: ActiveCall, result: CallResult, tookMs: Milliseconds, waitingCalls: number, diagnostics?: ResultDiagnostics): void
-  /** The number of registered upstreams of the service, or of those that this VM uses, has changed. */
-  onUpstreams (registered: number, used: number): void
-  /** An upstream has named, changed or withdrawn a request rate. */
-  onRateLimit (change: RateLimitChange): void
-  /** Upstreams begin or cease to be reserved for urgent kinds. */
-  onReservation (change: ReservationChange): void
-  /** An upstream is leaving or asks for a pause. */
-  onUpstreamSignal (signal: UpstreamSignal): void
-}
-
 /** An attempt in progress and the pool that its connection returns to. */
 interface TrackedAttempt {
   readonly upstreamId: string
@@ -67,7 +49,6 @@
   readonly service: string
   readonly dispatcher: Dispatcher
   readonly counters = ServiceCounters.create()
-  private healthPath = '/'
   private registered = 0
   /** Number of used upstreams that the observer was last notified of. */
   private reportedUsed = 0
@@ -80,6 +61,7 @@
   private readonly uploading = new Set<ActiveAttempt>()
   private readonly attempts = new Map<number, TrackedAttempt>()
   private readonly connections: UpstreamConnections
+  private readonly prober: LoadProber
   private readonly clock: Clock
   private readonly tickTimer: TickTimer
 
@@ -89,6 +71,8 @@
     this.tickTimer = options.tickTimer
     this.connections = options.connections
     this.dispatcher = options.createDispatcher(this)
+    const { dispatcher, connections, clock, options: { dialect, contacts } } = this
+    this.prober = LoadProber.create({ dispatcher, connections, clock, dialect, contacts, onEnd: () => this.rescheduleTick() })
     this.tickTimer.add(this.dispatcher)
   }
 
@@ -281,30 +265,11 @@
 
   /** Sets the request path of load probes. */
   setHealthPath (path: string): void {
-    this.healthPath = path
+    this.prober.healthPath = path
   }
 
   sendProbe (upstreamId: string): void {
-    const { clock, options: { dialect, contacts }, healthPath } = this
-    const connections = this.connections.poolFor(upstreamId)
-    const connection = connections?.acquire({ proven: false })
-    if (connections === undefined || connection === undefined) return
-    const isNewConnection = connection.lastResponseAt === 0
-    contacts?.onStart(connection, upstreamId, 'probe')
-    const onSignals = (signals: ResponseSignals): void => this.dispatcher.onProbeSignals(upstreamId, signals)
-    UpstreamProbe.send({ connection, path: healthPath, upstreamId, dialect, clock, onSignals }, result => {
-      connections.release(connection)
-      if (result.kind === 'report' || result.hasResponded) contacts?.onResponse(connection, isNewConnection)
-      else contacts?.onEnd(connection, isNewConnection ? 'unconnected' : 'silent')
-      if (result.kind === 'report') this.onProbeReport(upstreamId, result)
-      else this.dispatcher.onProbeFailed(upstreamId)
-      this.rescheduleTick()
-    })
-  }
-
-  private onProbeReport (upstreamId: string, { report, rateNotice, warmupLeftMs }: ProbeReport): void {
-    if (warmupLeftMs !== undefined) this.dispatcher.onWarmupNotice(upstreamId, warmupLeftMs)
-    this.dispatcher.onProbeReport(upstreamId, report, rateNotice)
+    this.prober.send(upstreamId)
   }
 
   /** Reports progress for attempts that wait for a slow caller, so that they are not treated as stalled. */
