--- a/packages/daemon/__tests__/endlessResponses.test.ts
+++ b/packages/daemon/__tests__/endlessResponses.test.ts
@@ -1,6 +1,7 @@
 import { createServer, type AddressInfo, type Server, type Socket } from 'node:net'
 import { expect } from 'chai'
 import { HttpConnection, type ExchangeHandler } from '../src/core/upstreams/httpConnection.js'
+import { throwError } from './harness.js'
 
 const PART = 'x'.repeat(16 * 1024)
 const HEAD = 'HTTP/1.1 200 OK\r\nX-Id: own\r\n'
@@ -55,10 +56,6 @@
   }
 }
 
-function throwError (error: Error): void {
-  throw error
-}
-
 describe('an upstream that never ends', () => {
   let server: Server
 
--- a/packages/daemon/__tests__/harness.ts
+++ b/packages/daemon/__tests__/harness.ts
@@ -143,3 +143,8 @@
   for (let i = 0; i < 1000 && !condition(); i++) await sleep(5)
   if (!condition()) throw new Error('condition not met within 5 s')
 }
+
+/** Fails the test that meets an unexpected error. */
+export function throwError (error: Error): void {
+  throw error
+}
--- a/packages/daemon/__tests__/httpConnection.test.ts
+++ b/packages/daemon/__tests__/httpConnection.test.ts
@@ -4,7 +4,7 @@
 import { HttpConnection, type ExchangeHandler, type ExchangeFailure } from '../src/core/upstreams/httpConnection.js'
 import type { OutgoingRequest } from '../src/core/upstreams/outgoingRequest.js'
 import type { ParsedHead } from '../src/core/upstreams/responseParser.js'
-import { waitUntil } from './harness.js'
+import { throwError, waitUntil } from './harness.js'
 
 const GET: OutgoingRequest = { method: 'GET', path: '/', headers: ['X-Id', '1'], body: null }
 
@@ -48,10 +48,6 @@
   return `HTTP/1.1 200 OK\r\nX-Id: ${id}\r\nContent-Length: ${body.length}\r\n\r\n${body}`
 }
 
-function throwError (error: Error): void {
-  throw error
-}
-
 describe('connections to upstreams', () => {
   let server: Server
   const sockets = new Set<Socket>()
--- a/packages/daemon/__tests__/tickTimer.test.ts
+++ b/packages/daemon/__tests__/tickTimer.test.ts
@@ -2,6 +2,7 @@
 import { FakeClock } from '@cowsliplead/core/types/clock.js'
 import { TickTimer, type Tickable } from '../src/core/supervision/tickTimer.js'
 import { sleep } from '../src/utils/sleep.js'
+import { throwError } from './harness.js'
 
 /** Always due immediately. */
 function createTickable (): Tickable & { ticks: number } {
@@ -14,10 +15,6 @@
   }
 }
 
-function throwError (error: Error): void {
-  throw error
-}
-
 describe('tick timer', () => {
   // Guards against a stopped daemon whose process does not exit because a late event armed the timer again.
   it('runs until it is stopped and is not armed by later events', async () => {
--- a/packages/daemon/src/core/handover/callerRelay.ts
+++ b/packages/daemon/src/core/handover/callerRelay.ts
@@ -6,8 +6,8 @@
 const NO_HEADERS: ReadonlySet<string> = new Set()
 
 /**
- * Passes another VM's response on to a caller, unchanged. One whose body the caller could not tell from a part of it is held
- * until it is complete; the other VM has buffered such a response, so it is short.
+ * Passes another VM's response on to a caller, unchanged. A response without a length is held until it is complete, because the
+ * caller could not tell a part of its body from the whole. The other VM has buffered such a response, so it is short.
  */
 export class CallerRelay {
   private held: { readonly head: ResponseHead, readonly chunks: Buffer[] } | undefined
