--- a/packages/daemon/src/core/upstreams/activeAttempt.ts
+++ b/packages/daemon/src/core/upstreams/activeAttempt.ts
@@ -179,8 +179,9 @@
   }
 
   /**
-   * Handles a response with another id, or one without that cannot be told from a copy. On a reused connection it is a late extra response to an earlier request, and
-   * the expected one still follows. On a new connection no other response can follow, so the attempt fails.
+   * Handles a response with another id, or one without an id that may be a copy. On a reused connection it is a late extra
+   * response to an earlier request, and the expected one still follows. On a new connection no other response can follow, so
+   * the attempt fails.
    */
   private onMismatchedHead (): 'accept' | 'skip' {
     if (this.connection.http.hasHistory) return 'skip'
