Open the circles of imports

What decides when a call could start, a policy exception, the codec of the policy record and a call that is handed over have files of their own. No change of behaviour.

--- a/packages/core/src/core/capacity/startEstimate.ts
+++ b/packages/core/src/core/capacity/startEstimate.ts
@@ -2,7 +2,7 @@
 import type { Call } from '../../types/dispatch.js'
 import { isDraining } from '../health/upstreamTable.js'
 import { rateLimitedUntil } from '../limits/rateAdmission.js'
-import type { RoutingContext } from '../dispatch/routingContext.js'
+import type { StartConditions } from './startConditions.js'
 
 /** What delays a call most. */
 export type StartDelay = 'none' | 'queue' | 'requestRate' | 'backoff'
@@ -26,13 +26,13 @@
  * `startIntervalMs` is the time between two starts that is assumed until some were observed. The rate of starts
  * includes what other VMs take from the same upstreams, since this VM's calls start only in the slots that those leave.
  */
-export function estimateStart (context: RoutingContext, call: Call, startIntervalMs: Milliseconds): StartEstimate {
-  const { queue, clock, serviceTimes } = context
+export function estimateStart (conditions: StartConditions, call: Call, startIntervalMs: Milliseconds): StartEstimate {
+  const { queue, clock, serviceTimes } = conditions
   const now = clock.now()
   const byDelay: Array<readonly [StartDelay, Milliseconds]> = [
     ['queue', queue.size === 0 ? 0 : queue.expectedWaitMs(call, now, startIntervalMs)],
-    ['requestRate', (rateLimitedUntil(context, call) ?? now) - now],
-    ['backoff', (closedUntil(context, now) ?? now) - now]
+    ['requestRate', (rateLimitedUntil(conditions, call) ?? now) - now],
+    ['backoff', (closedUntil(conditions, now) ?? now) - now]
   ]
   const [delay, waitMs] = byDelay.reduce((longest, each) => each[1] > longest[1] ? each : longest, ['none', 0])
   return {
@@ -41,7 +41,7 @@
     waitMs,
     callsBefore: queue.size === 0 ? 0 : queue.countBefore(call, now),
     delay,
-    latestStartAt: latestStartAt(context, call)
+    latestStartAt: latestStartAt(conditions, call)
   }
 }
 
@@ -49,15 +49,15 @@
  * Latest time at which a waiting call can start and still finish in time: by its target, or by its deadline if the
  * target is out of reach even without waiting.
  */
-export function latestStartAt (context: RoutingContext, call: Call): Milliseconds {
-  const { serviceTimes } = context
-  const neededMs = serviceTimes.quantileMs(call.kind, context.policyOf(call.kind).hopelessQuantile) ?? serviceTimes.meanServiceMsOf(call.kind)
+export function latestStartAt (conditions: StartConditions, call: Call): Milliseconds {
+  const { serviceTimes } = conditions
+  const neededMs = serviceTimes.quantileMs(call.kind, conditions.policyOf(call.kind).hopelessQuantile) ?? serviceTimes.meanServiceMsOf(call.kind)
   const latestForTargetAt = (call.targetAt ?? call.deadlineAt) - neededMs
   return latestForTargetAt > call.arrivedAt ? latestForTargetAt : call.deadlineAt - neededMs
 }
 
 /** When the first upstream takes calls again, if all that are not draining pause or are backed off from; undefined if one takes calls, or none is left. */
-function closedUntil ({ table }: RoutingContext, now: Milliseconds): Milliseconds | undefined {
+function closedUntil ({ table }: StartConditions, now: Milliseconds): Milliseconds | undefined {
   let firstEndAt = Infinity
   for (const state of table.inUse()) {
     if (isDraining(state, now)) continue
--- a/packages/core/src/core/configuration/effectivePolicy.ts
+++ b/packages/core/src/core/configuration/effectivePolicy.ts
@@ -1,4 +1,5 @@
-import type { PolicyDocument, PolicyException, RoutingSettings } from '../../types/policyDocument.js'
+import type { PolicyDocument } from '../../types/policyDocument.js'
+import type { PolicyException, RoutingSettings } from '../../types/policyException.js'
 import type { PolicyExceptions, RoutingPolicy } from '../../types/routingPolicy.js'
 
 /** What settings are resolved for; fields that do not apply are omitted. */
--- a/packages/core/src/core/limits/rateAdmission.ts
+++ b/packages/core/src/core/limits/rateAdmission.ts
@@ -1,6 +1,6 @@
 import type { Milliseconds } from '../../types/clock.js'
 import type { Call } from '../../types/dispatch.js'
-import type { RoutingContext } from '../dispatch/routingContext.js'
+import type { StartConditions } from '../capacity/startConditions.js'
 import { isDraining } from '../health/upstreamTable.js'
 import { nextStartAt } from './pauseAdmission.js'
 
@@ -10,7 +10,7 @@
  * When a new call can start if all upstreams in use name request rates or have asked for a pause; undefined if one takes
  * any number of requests, or none accepts new work.
  */
-export function rateLimitedUntil ({ table, queue, clock }: RoutingContext, call: Call): Milliseconds | undefined {
+export function rateLimitedUntil ({ table, queue, clock }: StartConditions, call: Call): Milliseconds | undefined {
   const now = clock.now()
   let firstStartAt = Infinity
   let requestsPerSecond = 0
--- a/packages/core/src/utils/policyProblems.ts
+++ b/packages/core/src/utils/policyProblems.ts
@@ -1,4 +1,4 @@
-import type { PolicyException, PolicyDocument } from '../types/policyDocument.js'
+import type { PolicyException } from '../types/policyException.js'
 import { KIND_SETTING_NAMES, UPSTREAM_SETTING_NAMES } from '../types/routingPolicy.js'
 
 /** A problem in a policy document: its path, and a message that states what is wrong or what is accepted. */
@@ -8,7 +8,7 @@
 }
 
 /** Finds problems that the schema cannot express: settings without effect in their scope, and duplicate settings. */
-export function findPolicyProblems ({ exceptions }: PolicyDocument): PolicyProblem[] {
+export function findPolicyProblems ({ exceptions }: { readonly exceptions: readonly PolicyException[] }): PolicyProblem[] {
   const problems: PolicyProblem[] = []
   const indexByKey = new Map<string, number>()
   exceptions.forEach((exception, index) => {
--- a/packages/daemon/__tests__/policyPublisher.test.ts
+++ b/packages/daemon/__tests__/policyPublisher.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai'
 import { Result } from 'true-myth/result'
 import { PolicyPublisher } from '../src/core/control/policyPublisher.js'
-import { encodePolicyRecord, POLICY_KEY } from '../src/core/control/policyState.js'
+import { encodePolicyRecord, POLICY_KEY } from '../src/core/control/policyRecordCodec.js'
 import { MonotonicClock } from '../src/core/gateway/monotonicClock.js'
 import { MemoryStore } from '../src/testing/memoryStore.js'
 
--- a/packages/daemon/__tests__/services.test.ts
+++ b/packages/daemon/__tests__/services.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai'
 import type { UpstreamEntry } from '@cowsliplead/core/types/upstreamEntry.js'
-import { encodePolicyRecord, POLICY_KEY } from '../src/core/control/policyState.js'
+import { encodePolicyRecord, POLICY_KEY } from '../src/core/control/policyRecordCodec.js'
 import { call, createSettings, Rig, waitUntil } from './harness.js'
 
 interface ServiceDump {
--- a/packages/daemon/src/core/control/policyPublisher.ts
+++ b/packages/daemon/src/core/control/policyPublisher.ts
@@ -3,7 +3,7 @@
 import { Result } from 'true-myth/result'
 import type { ControlStore, StoreFailure, StoreResult, TableRecord } from '../../types/controlStore.js'
 import { sleep } from '../../utils/sleep.js'
-import { decodePolicyRecord, encodePolicyRecord, POLICY_KEY } from './policyState.js'
+import { decodePolicyRecord, encodePolicyRecord, POLICY_KEY } from './policyRecordCodec.js'
 import { readSnapshot } from './tableSnapshot.js'
 
 const RETRY_MS: Milliseconds = 100
--- a/packages/daemon/src/core/control/policyState.ts
+++ b/packages/daemon/src/core/control/policyState.ts
@@ -1,14 +1,11 @@
-import { policyRecordSchema, type PolicyRecord } from '@cowsliplead/core/core/configuration/policyRecord.js'
+import type { PolicyRecord } from '@cowsliplead/core/core/configuration/policyRecord.js'
 import { describeIssues, policyDocumentSchema, type PolicyDocument } from '@cowsliplead/core/types/policyDocument.js'
-import { parseJson } from '@cowsliplead/core/utils/parseJson.js'
 import type { TableRecord } from '../../types/controlStore.js'
 import type { Logger } from '../operators/logger.js'
 import type { FleetRecordConsumer } from './fleetTable.js'
+import { decodePolicyRecord, POLICY_KEY } from './policyRecordCodec.js'
 import type { PolicyRestorer } from './policyRestorer.js'
 
-/** Key of the policy record in the fleet table. */
-export const POLICY_KEY = 'policy'
-
 /** Options of the policy state. */
 export interface PolicyStateOptions {
   readonly logger: Logger
@@ -66,13 +63,3 @@
     logger.info('policy in force', { revision, previous, author: changes.at(-1)?.author, exceptions: parsed.data.exceptions.length })
   }
 }
-
-/** Decodes a stored policy record; undefined if it cannot be read. */
-export function decodePolicyRecord (value: Buffer): PolicyRecord | undefined {
-  return policyRecordSchema.safeParse(parseJson(value.toString('utf8'))).data
-}
-
-/** Encodes a policy record for the store. */
-export function encodePolicyRecord (record: PolicyRecord): Buffer {
-  return Buffer.from(JSON.stringify(record))
-}
--- a/packages/daemon/src/core/handover/handoverSender.ts
+++ b/packages/daemon/src/core/handover/handoverSender.ts
@@ -1,33 +1,12 @@
-import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { HandoverLimit } from '@cowsliplead/core/core/handover/handoverLimit.js'
-import type { ReceiverChoice } from '@cowsliplead/core/core/handover/receiverChoice.js'
-import type { Clock, Milliseconds } from '@cowsliplead/core/types/clock.js'
-import type { Dialect } from '../../types/dialect.js'
-import type { RequestBody } from '../callers/requestBody.js'
-import type { CallerSink } from '../callers/callerSink.js'
-import { Transfer, type TransferEnd } from './transfer.js'
-
-/** A caller's request that is to be handed over. */
-export interface HandoverCall {
-  readonly request: IncomingMessage
-  readonly response: ServerResponse
-  readonly sink: CallerSink
-  readonly requestId: string
-  readonly arrivedAt: Milliseconds
-  /** Infinite if the caller does not say and the request was not routed. */
-  readonly deadlineAt: Milliseconds
-  readonly body: RequestBody
-}
+import type { HandoverCall } from './handoverCall.js'
+import { Transfer, type TransferEnd, type TransferOptions } from './transfer.js'
 
 /** Why no VM has got a call: this VM hands over as many as it may, or none of the others takes it. */
 export type HandoverRefusal = 'limit' | 'noReceiver'
 
 /** Options of the sender. */
-export interface HandoverSenderOptions {
-  readonly vmId: string
-  readonly clock: Clock
-  readonly dialect: Dialect
-  readonly choice: ReceiverChoice
+export interface HandoverSenderOptions extends TransferOptions {
   readonly limit: HandoverLimit
   /** Called when a call that at least one VM was asked to take has ended, or goes back to this VM. */
   readonly onEnd: (call: HandoverCall, end: TransferEnd) => void
--- a/packages/daemon/src/core/handover/transfer.ts
+++ b/packages/daemon/src/core/handover/transfer.ts
@@ -1,11 +1,12 @@
-import type { ReceiverFailure } from '@cowsliplead/core/core/handover/receiverChoice.js'
+import type { ReceiverChoice, ReceiverFailure } from '@cowsliplead/core/core/handover/receiverChoice.js'
 import type { FleetMember } from '@cowsliplead/core/types/fleetMember.js'
-import type { Milliseconds } from '@cowsliplead/core/types/clock.js'
+import type { Clock, Milliseconds } from '@cowsliplead/core/types/clock.js'
 import type { ResultCodeName } from '@cowsliplead/core/types/resultCode.js'
 import { PEER_ELAPSED_HEADER, PEER_PURPOSE_HEADER, PEER_SENDER_HEADER, requestHeaders } from '../../utils/headers.js'
+import type { Dialect } from '../../types/dialect.js'
 import type { ResponseHead } from '../../types/responseSink.js'
 import { CallerRelay } from './callerRelay.js'
-import type { HandoverCall, HandoverSenderOptions } from './handoverSender.js'
+import type { HandoverCall } from './handoverCall.js'
 import { PeerExchange, type PeerError, type PeerExchangeHandler } from './peerExchange.js'
 
 /** VMs that are asked to take one call. */
@@ -37,6 +38,14 @@
 /** Reasons that a receiver gives before it takes a call; they are no answers for callers. */
 const RECEIVER_ONLY_RESULTS: ReadonlySet<string> = new Set(['cutOff', 'full', 'stopping'])
 
+/** Options of a transfer. */
+export interface TransferOptions {
+  readonly vmId: string
+  readonly clock: Clock
+  readonly dialect: Dialect
+  readonly choice: ReceiverChoice
+}
+
 /** The end of a transfer. `noReceiver`: the call goes back to this VM. */
 export interface TransferEnd {
   readonly outcome: 'relayed' | 'refused' | 'unknown' | 'broken' | 'callerLeft' | 'noReceiver'
@@ -61,14 +70,14 @@
 
   private constructor (
     private readonly call: HandoverCall,
-    private readonly options: HandoverSenderOptions,
+    private readonly options: TransferOptions,
     private readonly done: (end: TransferEnd) => void
   ) {
     this.relay = CallerRelay.create(call.response, () => call.sink.closesConnection)
   }
 
   /** Starts a transfer; `done` is called once. */
-  static start (call: HandoverCall, options: HandoverSenderOptions, done: (end: TransferEnd) => void): void {
+  static start (call: HandoverCall, options: TransferOptions, done: (end: TransferEnd) => void): void {
     const transfer = new Transfer(call, options, done)
     const waitMs = Math.min(call.deadlineAt - options.clock.now(), DEFAULT_WAIT_MS) + ANSWER_TRANSIT_MS
     transfer.timer = setTimeout(() => transfer.onTimeout(), Math.max(waitMs, 0))
