--- a/packages/daemon/__tests__/policyPublisher.test.ts
+++ b/packages/daemon/__tests__/policyPublisher.test.ts
@@ -73,6 +73,15 @@
     expect(await publisher.publish(change('two', 0))).to.deep.equal({ kind: 'unconfirmed' })
   })
 
+  // Guards against taking a write for not applied because its answer was too long.
+  it('does not know the outcome of a write whose answer was cut off', async () => {
+    store.put = async () => {
+      store.failure = 'refused'
+      return Result.err('tooLarge')
+    }
+    expect(await publisher.publish(change('one', 0))).to.deep.equal({ kind: 'unconfirmed' })
+  })
+
   // Guards against a revision that decreases because an unreadable record is treated as missing.
   it('does not overwrite a record that cannot be read', async () => {
     store.records('fleet').push({ key: POLICY_KEY, value: Buffer.from('{}') })
--- a/packages/daemon/src/core/control/policyPublisher.ts
+++ b/packages/daemon/src/core/control/policyPublisher.ts
@@ -59,7 +59,7 @@
     while (clock.now() < deadline) {
       const outcome = await this.tryOnce(change)
       if (outcome.isOk) return outcome.value
-      mayBeApplied ||= outcome.error.isWrite && outcome.error.failure === 'unanswered'
+      mayBeApplied ||= outcome.error.isWrite && isUncertain(outcome.error.failure)
       failure = outcome.error.failure
       if (failure !== 'conflict') await sleep(RETRY_MS)
     }
@@ -98,6 +98,11 @@
   }
 }
 
+/** Whether a write that failed may have been applied. */
+function isUncertain (failure: StoreFailure): boolean {
+  return failure === 'unanswered' || failure === 'tooLarge'
+}
+
 function decodeNewest (record: TableRecord | undefined, end: number): StoreResult<NewestPolicy> {
   if (record?.value === undefined) return Result.ok({ record: undefined, end })
   const decoded = decodePolicyRecord(record.value)
--- a/packages/daemon/src/types/controlStore.ts
+++ b/packages/daemon/src/types/controlStore.ts
@@ -52,9 +52,10 @@
 /**
  * Why a call to the store failed. `expired`: the requested changes are no longer stored. `conflict`: the table has
  * changed since the offset that the write named. `refused`: the store did nothing. `unanswered`: no complete answer
- * arrived; a write may have been applied, or may still be. `invalid`: the answer cannot be read.
+ * arrived; a write may have been applied, or may still be. `tooLarge`: like `unanswered`, because the answer exceeded a limit
+ * and was cut off. `invalid`: the answer cannot be read.
  */
-export type StoreFailure = 'expired' | 'conflict' | 'refused' | 'unanswered' | 'invalid'
+export type StoreFailure = 'expired' | 'conflict' | 'refused' | 'unanswered' | 'tooLarge' | 'invalid'
 
 /** Outcome of a call to the store. */
 export type StoreResult<Value> = Result<Value, StoreFailure>
