Keep a response in small chunks in one buffer

Callers saw: nothing yet; upstreams that send bodies in tiny chunks, without an end or slowly, would have ended the daemon and all requests on its VM.

Fix: the chunks after the first are copied into one buffer that grows by doubling, so what is held is at most about twice what the limit counts.

--- a/packages/daemon/src/core/upstreams/activeAttempt.ts
+++ b/packages/daemon/src/core/upstreams/activeAttempt.ts
@@ -4,6 +4,7 @@
 import type { Clock, Milliseconds } from '@cowsliplead/core/types/clock.js'
 import type { Dialect, ResponseMetadata } from '../../types/dialect.js'
 import type { ResponseHead, StreamDecision } from '../../types/responseSink.js'
+import { BodyBuffer } from '../../utils/bodyBuffer.js'
 import { findHeader } from '../../utils/headers.js'
 import { notifyOfSignals, pauseOf } from '../../utils/responseSignals.js'
 import type { Connection } from './connectionPool.js'
@@ -78,7 +79,7 @@
   private head: ResponseHead | undefined
   private report: LoadReport | undefined
   private retryAfterMs: Milliseconds | undefined
-  private bufferedChunks: Buffer[] = []
+  private readonly buffered = BodyBuffer.create()
   private bodyBytes = 0
 
   private constructor (private readonly options: ActiveAttemptOptions) {
@@ -151,8 +152,9 @@
     this.bodyBytes += chunk.length
     if (this.stage === 'streaming') return this.options.observer.onChunk(this, chunk)
     if (this.stage !== 'buffering') return true
-    this.bufferedChunks.push(chunk)
-    return this.bodyBytes <= MAX_BUFFERED_RESPONSE_BYTES || this.startStream()
+    if (this.bodyBytes > MAX_BUFFERED_RESPONSE_BYTES) return this.startStream([...this.buffered.take(), chunk])
+    this.buffered.append(chunk)
+    return true
   }
 
   onComplete (): void {
@@ -160,7 +162,7 @@
     if (this.stage === 'refused') return this.finish({ kind: 'notRun', report: this.report, retryAfterMs: this.retryAfterMs })
     if (this.stage !== 'buffering' && this.stage !== 'streaming') return
     const head = this.head as ResponseHead
-    if (this.stage === 'buffering') this.bufferedResponse = { head, body: this.bufferedChunks }
+    if (this.stage === 'buffering') this.bufferedResponse = { head, body: this.buffered.take() }
     this.finish({ kind: 'answered', serverError: head.status >= 500, report: this.report, retryAfterMs: this.retryAfterMs, bytes: this.bodyBytes })
   }
 
@@ -213,13 +215,11 @@
     this.stage = 'buffering'
     const length = Number(findHeader(headers, 'content-length') ?? 0)
     if (length <= MAX_BUFFERED_RESPONSE_BYTES || this.options.request.method === 'HEAD') return
-    if (!this.startStream()) this.connection.http.pause()
+    if (!this.startStream([])) this.connection.http.pause()
   }
 
-  /** Returns false to pause reading. */
-  private startStream (): boolean {
-    const chunks = this.bufferedChunks
-    this.bufferedChunks = []
+  /** Passes on `chunks` and what follows them. Returns false to pause reading. */
+  private startStream (chunks: readonly Buffer[]): boolean {
     this.stage = 'streaming'
     const decision = this.options.observer.onStream(this, this.head as ResponseHead, chunks)
     if (decision === 'discard') this.cancel()
@@ -239,7 +239,7 @@
 
   private finish (end: AttemptEnd): void {
     this.stage = 'ended'
-    this.bufferedChunks = []
+    this.buffered.take()
     this.options.observer.onEnd(this, end)
   }
 }
