Cancel and count all pipelined requests of a caller that leaves

Node emits 'close' only for the response that has the socket; everything that ends a request waited for that event. Pipelines now knows the pending responses of a connection and closes those that have no socket when the connection closes, so that the counter, attempts, quota decisions and handovers all see the end of each request once.

--- a/packages/daemon/src/core/callers/proxy.ts
+++ b/packages/daemon/src/core/callers/proxy.ts
@@ -1,4 +1,3 @@
-import { hash } from 'node:crypto'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import type { Clock, Milliseconds } from '@cowsliplead/core/types/clock.js'
@@ -9,17 +8,16 @@
 import type { ResultCodeName } from '@cowsliplead/core/types/resultCode.js'
 import type { Dialect } from '../../types/dialect.js'
 import type { ResponseSink } from '../../types/responseSink.js'
-import { IDEMPOTENCY_KEY_HEADER, requestHeaders } from '../../utils/headers.js'
+import { requestHeaders } from '../../utils/headers.js'
 import { CallerSink } from './callerSink.js'
 import { ActiveCall } from './activeCall.js'
-import { PipelineCounter } from './pipelineCounter.js'
+import { fingerprintOf } from './fingerprint.js'
+import { Pipelines } from './pipelines.js'
 import { readBody, type RequestBody } from './requestBody.js'
 import type { RequestIds } from './requestIds.js'
 import type { StopPlan } from '../gateway/stopPlan.js'
 import type { ServiceForwarder } from '../upstreams/serviceForwarder.js'
 
-const MAX_FINGERPRINT_LENGTH = 200
-
 /** After this time, a caller that a stopping VM has refused may send its request to another one. */
 const STOPPING_RETRY_MS: Milliseconds = 20
 
@@ -92,12 +90,12 @@
 export class Proxy {
   /** Number of requests whose response has not been fully sent. */
   inFlight = 0
-  private readonly pipelines: PipelineCounter
+  private readonly pipelines: Pipelines
   private readonly unforwardedHeaders: ReadonlySet<string>
 
   private constructor (private readonly options: ProxyOptions) {
     const { clock, dialect } = options
-    this.pipelines = PipelineCounter.create(clock)
+    this.pipelines = Pipelines.create(clock)
     this.unforwardedHeaders = new Set([...dialect.strippedRequestHeaders, ...dialect.credentialHeaders])
   }
 
@@ -115,10 +113,9 @@
     const { clock, dialect, ids, handover } = this.options
     const arrivedAt = clock.now() - (elapsedMs ?? 0)
     this.inFlight++
-    this.pipelines.enter(request.socket)
+    this.pipelines.enter(response)
     response.once('close', () => {
       this.inFlight--
-      this.pipelines.leave(request.socket)
     })
     const callerId = dialect.callerRequestId(request.headers)
     const requestId = dialect.forwardsCallerIds && callerId !== undefined ? callerId : ids.next(callerId)
@@ -240,15 +237,3 @@
     }
   }
 }
-
-function fingerprintOf (request: IncomingMessage, body: RequestBody): string {
-  const key = request.headers[IDEMPOTENCY_KEY_HEADER]
-  const identity = `${request.method} ${request.url}`
-  if (typeof key === 'string') return shorten(`${identity} ${key}`)
-  return shorten(Buffer.isBuffer(body) && body.length > 0 ? `${identity} ${hash('sha1', body, 'base64')}` : identity)
-}
-
-/** Limits the size of a suspect mark of the request in memory and in the store. */
-function shorten (fingerprint: string): string {
-  return fingerprint.length <= MAX_FINGERPRINT_LENGTH ? fingerprint : hash('sha256', fingerprint, 'base64')
-}
