--- a/packages/daemon/src/core/control/fleetTable.ts
+++ b/packages/daemon/src/core/control/fleetTable.ts
@@ -1,9 +1,10 @@
 import type { Clock, Milliseconds } from '@cowsliplead/core/types/clock.js'
 import type { ControlStore, TableRecord } from '../../types/controlStore.js'
+import type { TableConsumer } from '../../types/tableConsumer.js'
 import type { ChangeFeed } from '../feed/changeFeed.js'
 import type { Logger } from '../operators/logger.js'
 import { logStoreOutages } from './storeOutageLog.js'
-import { TableReader, type TableConsumer } from './tableReader.js'
+import { TableReader } from './tableReader.js'
 
 /**
  * Long-poll timeout of a read: long, because each read of an unchanged table has a cost too. A connection that hangs
--- a/packages/daemon/src/core/control/storeOutageLog.ts
+++ b/packages/daemon/src/core/control/storeOutageLog.ts
@@ -1,6 +1,6 @@
 import type { StoreFailure, TableName } from '../../types/controlStore.js'
+import type { TableConsumer } from '../../types/tableConsumer.js'
 import type { Logger } from '../operators/logger.js'
-import type { TableConsumer } from './tableReader.js'
 
 /** Consumer callbacks that log failed reads of a table, the recovery from them, and restores of the store. */
 export function logStoreOutages (logger: Logger, table: TableName): Pick<TableConsumer, 'onRecovery' | 'onRestore' | 'onFailure'> {
--- a/packages/daemon/src/core/control/tableReader.ts
+++ b/packages/daemon/src/core/control/tableReader.ts
@@ -1,13 +1,15 @@
 import type { Clock, Milliseconds } from '@cowsliplead/core/types/clock.js'
 import type { Instant } from '@cowsliplead/core/types/elapsedClock.js'
-import type { ControlStore, StoreEpoch, StoreFailure, TableName, TablePosition, TableRecord } from '../../types/controlStore.js'
+import type { ControlStore, StoreFailure, TableName, TablePosition, TableRecord } from '../../types/controlStore.js'
 import type { Component } from '../../types/component.js'
 import type { FeedTable, HeldRecords, OffsetChanges, TableCopy } from '../../types/feedTable.js'
+import type { TableConsumer } from '../../types/tableConsumer.js'
 import { includes, isAhead } from '../../utils/tablePosition.js'
 import { sleep } from '../../utils/sleep.js'
 import type { ReadConfirmation } from '../customers/keyConfirmation.js'
 import type { ChangeFeed } from '../feed/changeFeed.js'
-import { readSnapshot, type TableSnapshot } from './tableSnapshot.js'
+import { TableContent } from './tableContent.js'
+import { readSnapshot } from './tableSnapshot.js'
 
 /** Backoff after a failed call; doubles up to the maximum. Even a refused call has a cost. */
 const INITIAL_RETRY_MS = 100
@@ -15,34 +17,6 @@
 /** Maximum for a VM that is in contact with those that it follows, which notify it once the store answers them. */
 const MAX_FOLLOWER_RETRY_MS = 1500
 
-/** A restore of the store from a copy, as a reader has noticed it. */
-export interface StoreRestore {
-  readonly epoch: StoreEpoch
-  readonly previousEpoch: StoreEpoch
-  /** Offset that the reader had reached in the previous epoch. */
-  readonly offset: number
-}
-
-/** Receives the content of a table. */
-export interface TableConsumer {
-  /** Whether a record is older than what the consumer knows of its key, as in a store that is restored from a copy. */
-  isOutdated (record: TableRecord): boolean
-  /** All records of the table. */
-  onSnapshot (records: readonly TableRecord[]): void
-  /** Changes in order, after a snapshot. */
-  onChanges (records: readonly TableRecord[]): void
-  /** The store answers again after a failure. Called before the content of that answer is delivered. */
-  onRecovery (): void
-  /** The store was restored from a copy. */
-  onRestore (restore: StoreRestore): void
-  /** Records that the consumer keeps in force although the store lacks them since a restore. */
-  heldRecords? (): HeldRecords | undefined
-  /** Another VM keeps these records in force. Called before the snapshot that this VM takes from it. */
-  onHeldRecords? (held: HeldRecords): void
-  /** The first call of an outage failed. */
-  onFailure (failure: StoreFailure): void
-}
-
 /** Options of a reader. */
 export interface TableReaderOptions {
   readonly store: ControlStore
@@ -78,17 +52,14 @@
   private abortController = new AbortController()
   private isFailing = false
   private retryMs = INITIAL_RETRY_MS
-  /** See `FeedTable.position`. */
-  position: TablePosition | undefined
-  /** Position before the last failure or missed changes, to notice a restore of the store. */
-  private lastPosition: TablePosition | undefined
+  private readonly content: TableContent
   private mayTakeCopy: boolean
-  private readonly newestRecords = new Map<string, Buffer>()
   private lastAnswerAt: Milliseconds | undefined
   private reportFailure: (error: Error) => void = () => {}
 
   private constructor (private readonly options: TableReaderOptions) {
     this.name = `reader of ${options.table}`
+    this.content = TableContent.create(options.consumer)
     this.mayTakeCopy = options.startsFromCopy === true
     options.feed.register(this)
   }
@@ -111,8 +82,13 @@
     return confirmation !== undefined && this.isFailing && this.position !== undefined && feed.isBehind(table, this.position)
   }
 
+  /** See `FeedTable.position`. */
+  get position (): TablePosition | undefined {
+    return this.content.position
+  }
+
   records (): readonly TableRecord[] {
-    return [...this.newestRecords].map(([key, value]) => ({ key, value }))
+    return this.content.records()
   }
 
   heldRecords (): HeldRecords | undefined {
@@ -128,7 +104,7 @@
   async start (onFailure: (error: Error) => void): Promise<void> {
     this.abortController = new AbortController()
     // A consumer that failed may have applied only part of the changes.
-    this.position = undefined
+    this.content.position = undefined
     this.reportFailure = onFailure
     this.run(this.abortController.signal).catch(onFailure)
   }
@@ -136,7 +112,7 @@
   async stop (): Promise<void> {
     this.abortController.abort()
     // Changes relayed from now on are ignored: the snapshot read at the next start contains them.
-    this.position = undefined
+    this.content.position = undefined
   }
 
   private async run (signal: AbortSignal): Promise<void> {
@@ -172,7 +148,7 @@
     if (signal.aborted) return undefined
     if (snapshot.isErr) return snapshot.error
     this.onAnswer()
-    this.replace(snapshot.value)
+    this.content.replace(snapshot.value)
     this.confirm(snapshot.value.position, sentAt)
     feed.publish(table, snapshot.value.position)
     return undefined
@@ -184,13 +160,13 @@
     const changes = await store.readChanges(table, position.offset, waitMs)
     if (signal.aborted) return undefined
     if (changes.isErr) {
-      if (changes.error === 'expired') this.position = undefined
+      if (changes.error === 'expired') this.content.position = undefined
       return changes.error
     }
     const { records, end, epoch } = changes.value
     if (epoch !== position.epoch) return this.onOtherEpoch()
     this.onAnswer()
-    this.apply({ epoch, from: position.offset, records })
+    this.content.apply({ epoch, from: position.offset, records })
     this.confirm({ epoch, offset: end }, sentAt)
     feed.publish(table, { epoch, offset: end }, { epoch, from: position.offset, records })
     return undefined
@@ -204,7 +180,7 @@
 
   /** The offset that was read from means something else after a restore of the store: all records have to be read. */
   private onOtherEpoch (): StoreFailure {
-    this.position = undefined
+    this.content.position = undefined
     return 'expired'
   }
 
@@ -214,7 +190,7 @@
     if (changes.from + changes.records.length <= this.position.offset) return undefined
     return this.reportErrors(() => {
       this.onAnswer()
-      return this.apply(changes)
+      return this.content.apply(changes)
     })
   }
 
@@ -226,7 +202,7 @@
     this.reportErrors(() => {
       this.onAnswer()
       if (copy.held !== undefined) this.options.consumer.onHeldRecords?.(copy.held)
-      this.replace(copy)
+      this.content.replace(copy)
     })
   }
 
@@ -240,55 +216,6 @@
     }
   }
 
-  private replace ({ records, position }: TableSnapshot): void {
-    const previous = this.lastPosition
-    if (previous !== undefined && previous.epoch !== position.epoch) this.notifyOfRestore(previous, position)
-    const newest = this.newestOf(records)
-    this.newestRecords.clear()
-    this.keepNewest(newest)
-    this.options.consumer.onSnapshot(newest)
-    this.moveTo(position)
-  }
-
-  /**
-   * The records of a snapshot, with what was known before in place of outdated ones: VMs that start take this copy, and
-   * must not get older records than the others have in force.
-   */
-  private newestOf (records: readonly TableRecord[]): TableRecord[] {
-    const { consumer } = this.options
-    return records
-      .map(record => consumer.isOutdated(record) ? { key: record.key, value: this.newestRecords.get(record.key) } : record)
-      .filter(({ value }) => value !== undefined)
-  }
-
-  private notifyOfRestore ({ epoch: previousEpoch, offset }: TablePosition, { epoch }: TablePosition): void {
-    this.options.consumer.onRestore({ epoch, previousEpoch, offset })
-  }
-
-  private moveTo (position: TablePosition): void {
-    this.position = position
-    this.lastPosition = position
-  }
-
-  /** Applies the changes that are new, as another VM may have passed some of them on meanwhile, and returns them. */
-  private apply ({ epoch, from, records }: OffsetChanges): OffsetChanges | undefined {
-    if (this.position?.epoch !== epoch) return undefined
-    const { offset } = this.position
-    const fresh = { epoch, from: offset, records: records.slice(offset - from) }
-    if (fresh.records.length === 0) return undefined
-    this.moveTo({ epoch, offset: offset + fresh.records.length })
-    this.keepNewest(fresh.records)
-    this.options.consumer.onChanges(fresh.records)
-    return fresh
-  }
-
-  private keepNewest (records: readonly TableRecord[]): void {
-    for (const { key, value } of records) {
-      if (value === undefined) this.newestRecords.delete(key)
-      else this.newestRecords.set(key, value)
-    }
-  }
-
   private onAnswer (): void {
     this.lastAnswerAt = this.options.clock.now()
     this.retryMs = INITIAL_RETRY_MS
