Log and count what stray bytes do to a response

'attempt ended' and 'result' now say so, with no further line. Bytes that are no valid response have a typed reason, and counters show stray responses and the connections closed for bytes, by reason. The fields of a line are computed only if the line is written. A response is delivered only from the attempt that the dispatcher names.

--- a/packages/daemon/__tests__/eventLog.test.ts
+++ b/packages/daemon/__tests__/eventLog.test.ts
@@ -55,4 +55,12 @@
     expect(lines.filter(({ message }) => message === 'configuration in force')).to.have.length(1)
     expect(log.omitted).to.equal(10)
   })
+
+  // Guards against fields that are computed for lines that are not written.
+  it('computes the fields of a line only if the line is written', () => {
+    const { log, lines } = create()
+    let computed = 0
+    for (let i = 0; i < 310; i++) log.logRequest('result', () => ({ request: String(++computed) }))
+    expect([computed, lines.length]).to.deep.equal([300, 300])
+  })
 })
--- a/packages/daemon/src/core/callers/activeCall.ts
+++ b/packages/daemon/src/core/callers/activeCall.ts
@@ -3,7 +3,7 @@
 import type { Milliseconds } from '@cowsliplead/core/types/clock.js'
 import type { Dialect } from '../../types/dialect.js'
 import type { ResponseSink } from '../../types/responseSink.js'
-import type { AttemptRequest, BufferedResponse } from '../upstreams/activeAttempt.js'
+import type { AttemptRequest, BufferedResponse } from '../../types/attempt.js'
 import type { Connection } from '../upstreams/connectionPool.js'
 
 /** The part of a call's request that all attempts share. */
--- a/packages/daemon/src/core/callers/callerSink.ts
+++ b/packages/daemon/src/core/callers/callerSink.ts
@@ -35,6 +35,10 @@
     return this.options.closesConnection()
   }
 
+  get sentStatus (): number | undefined {
+    return this.response.headersSent ? this.response.statusCode : undefined
+  }
+
   deliver (head: ResponseHead, body: readonly Buffer[]): void {
     const headers = this.headersFor(head)
     if (head.isFramed && findHeader(headers, 'content-length') === undefined && this.mayHaveBody(head.status)) headers.push('content-length', String(totalLength(body)))
--- a/packages/daemon/src/core/gateway/callLog.ts
+++ b/packages/daemon/src/core/gateway/callLog.ts
@@ -1,9 +1,9 @@
 import type { Histogram } from 'prom-client'
 import type { Milliseconds } from '@cowsliplead/core/types/clock.js'
-import type { Attempt, SelectionSnapshot, AttemptEnd, CallResult, CancelReason, RateLimitChange, ReservationChange, ResultDiagnostics, UpstreamSignal } from '@cowsliplead/core/types/dispatch.js'
+import type { Attempt, SelectionSnapshot, AttemptEnd, CancelReason, RateLimitChange, ReservationChange, ResultDiagnostics, UpstreamSignal } from '@cowsliplead/core/types/dispatch.js'
 import type { ActiveAttempt } from '../upstreams/activeAttempt.js'
 import type { ActiveCall } from '../callers/activeCall.js'
-import type { CallObserver } from '../upstreams/callObserver.js'
+import type { CallEnd, CallObserver } from '../upstreams/callObserver.js'
 import type { EventLog } from './eventLog.js'
 
 /** Logs the routing decisions and the result of each request of one service, and records latencies. */
@@ -20,25 +20,25 @@
 
   onAttempt (call: ActiveCall, { id, upstreamId, purpose, deadlineAt, selection }: Attempt): void {
     const { kind, arrivedAt, customer } = call.call
-    this.eventLog.logRequest('attempt', {
+    this.eventLog.logRequest('attempt', () => ({
       request: call.requestId, service: this.service, route: kind.name, customer, attempt: id, upstream: upstreamId, purpose,
       timeLimitMs: roundToTenth(deadlineAt - arrivedAt), ...roundFields(selection)
-    })
+    }))
   }
 
   onAttemptEnd (call: ActiveCall, attempt: ActiveAttempt, { kind, report, serverError }: AttemptEnd, tookMs: Milliseconds): void {
     // The "result" line of a normal response already contains this information.
     if (kind === 'answered' && serverError !== true) return
-    this.eventLog.logRequest('attempt ended', {
+    this.eventLog.logRequest('attempt ended', () => ({
       request: call.requestId, service: this.service, attempt: attempt.attemptId, end: kind, serverError, tookMs: roundToTenth(tookMs),
-      reportedInFlight: report?.inFlight, reportedQueued: report?.queued
-    })
+      reason: attempt.refusal, reportedInFlight: report?.inFlight, reportedQueued: report?.queued, ...attempt.describe()
+    }))
   }
 
   onCancel (call: ActiveCall, attempt: ActiveAttempt, reason: CancelReason, tookMs: Milliseconds): void {
-    this.eventLog.logRequest('attempt cancelled', {
+    this.eventLog.logRequest('attempt cancelled', () => ({
       request: call.requestId, service: this.service, attempt: attempt.attemptId, reason, tookMs: roundToTenth(tookMs)
-    })
+    }))
   }
 
   onUpstreams (registered: number, used: number): void {
@@ -60,15 +60,16 @@
     this.eventLog.logger.info(message, { service: this.service, upstream: upstreamId, ...fields })
   }
 
-  onResult (call: ActiveCall, result: CallResult, tookMs: Milliseconds, waitingCalls: number, diagnostics?: ResultDiagnostics): void {
-    const outcome = 'code' in result ? result.code : result.kind
+  onResult (call: ActiveCall, { result, tookMs, waitingCalls, diagnostics, attempt }: CallEnd): void {
     this.latencyHistogram.observe({ service: this.service, result: result.kind }, tookMs / 1000)
-    this.eventLog.logRequest('result', {
-      request: call.requestId, service: this.service, route: call.call.kind.name, customer: call.call.customer, outcome, tookMs: roundToTenth(tookMs), waitingCalls,
+    this.eventLog.logRequest('result', () => ({
+      request: call.requestId, service: this.service, route: call.call.kind.name, customer: call.call.customer, outcome: 'code' in result ? result.code : result.kind, tookMs: roundToTenth(tookMs), waitingCalls,
       attempt: result.kind === 'delivered' ? result.attemptId : undefined,
       retryAfterMs: 'retryAfterMs' in result ? roundToTenth(result.retryAfterMs ?? 0) : undefined,
+      status: call.sink.sentStatus,
+      ...attempt?.describe(),
       ...(diagnostics === undefined ? {} : roundFields(diagnostics))
-    })
+    }))
   }
 }
 
--- a/packages/daemon/src/core/gateway/eventLog.ts
+++ b/packages/daemon/src/core/gateway/eventLog.ts
@@ -38,8 +38,8 @@
     return this.output.dropped
   }
 
-  /** Writes a line about one request, unless the rate limit is reached. */
-  logRequest (message: string, fields: LogFields): void {
+  /** Writes a line about one request, unless the rate limit is reached; only then are fields computed that a function gives. */
+  logRequest (message: string, fields: LogFields | (() => LogFields)): void {
     this.startWindow()
     if (this.linesInWindow >= REQUEST_LINES_PER_SECOND) {
       this.omitted += 1
@@ -47,7 +47,7 @@
       return
     }
     this.linesInWindow += 1
-    this.logger.info(message, fields)
+    this.logger.info(message, typeof fields === 'function' ? fields() : fields)
   }
 
   private startWindow (): void {
--- a/packages/daemon/src/core/gateway/gatewayServices.ts
+++ b/packages/daemon/src/core/gateway/gatewayServices.ts
@@ -23,6 +23,7 @@
 import type { ContactObserver } from '../upstreams/loadProber.js'
 import { ServiceForwarder } from '../upstreams/serviceForwarder.js'
 import type { TickTimer } from '../supervision/tickTimer.js'
+import { ServiceCounters } from '../upstreams/serviceCounters.js'
 import { UpstreamConnections, type ConnectionSettings } from '../upstreams/upstreamConnections.js'
 
 const EMPTY_DOCUMENT: PolicyDocument = policyDocumentSchema.parse({})
@@ -186,12 +187,14 @@
 
   private createForwarder ({ name }: ServiceTarget, policy: RoutingPolicy): ServiceForwarder {
     const { clock, random, tickTimer, dialect, connectionSettings, vmId, failureDomain, rateDivision } = this.options
+    const counters = ServiceCounters.create()
     const forwarder = ServiceForwarder.create({
       service: name,
       clock,
       tickTimer,
       dialect,
-      connections: UpstreamConnections.create(clock, connectionSettings),
+      connections: UpstreamConnections.create(clock, { ...connectionSettings, observer: counters }),
+      counters,
       onError: this.options.onError,
       onSuspects: this.options.onSuspects,
       onLeaving: this.options.onLeaving,
--- a/packages/daemon/src/core/handover/handoverSink.ts
+++ b/packages/daemon/src/core/handover/handoverSink.ts
@@ -21,6 +21,10 @@
     return new HandoverSink(options)
   }
 
+  get sentStatus (): number | undefined {
+    return this.options.inner.sentStatus
+  }
+
   deliver (head: ResponseHead, body: readonly Buffer[]): void {
     this.options.inner.deliver(head, body)
   }
--- a/packages/daemon/src/core/operators/metrics.ts
+++ b/packages/daemon/src/core/operators/metrics.ts
@@ -37,7 +37,7 @@
   components (): readonly ComponentState[]
 }
 
-type CounterField = 'results' | 'attempts' | 'ends' | 'cancels'
+type CounterField = 'results' | 'attempts' | 'ends' | 'cancels' | 'bytesRefused'
 
 /** Metrics of the daemon, in a registry of their own. */
 export class Metrics {
@@ -48,6 +48,8 @@
     this.addServiceCounter('cowsliplead_attempts_total', 'Attempts by purpose', 'purpose', 'attempts')
     this.addServiceCounter('cowsliplead_attempt_ends_total', 'Attempts by end', 'end', 'ends')
     this.addServiceCounter('cowsliplead_cancelled_attempts_total', 'Cancelled attempts by reason', 'reason', 'cancels')
+    this.addServiceCounter('cowsliplead_refused_bytes_total', 'Connections to upstreams closed for the bytes that arrived on them, by reason', 'reason', 'bytesRefused')
+    this.addStrayResponses()
     this.addServiceGauge('cowsliplead_service_calls_in_flight', 'Calls in flight, by service', forwarder => forwarder.callsInFlight)
     this.addServiceGauge('cowsliplead_connections', 'Connections to upstreams', forwarder => forwarder.connectionCount)
     this.addServiceGauge('cowsliplead_queued_calls', 'Calls waiting for an upstream', forwarder => forwarder.dispatcher.snapshot().queued)
@@ -113,6 +115,20 @@
     }))
   }
 
+  private addStrayResponses (): void {
+    const { source } = this
+    this.registry.registerMetric(new Counter({
+      name: 'cowsliplead_stray_responses_total',
+      help: 'Responses to other requests that were skipped on connections to upstreams',
+      labelNames: ['service'],
+      registers: [],
+      collect () {
+        this.reset()
+        for (const { service, counters } of source.forwarders()) this.inc({ service }, counters.strayResponses)
+      }
+    }))
+  }
+
   private addServiceGauge (name: string, help: string, read: (forwarder: ServiceForwarder) => number): void {
     const { source } = this
     this.registry.registerMetric(new Gauge({
--- a/packages/daemon/src/core/upstreams/activeAttempt.ts
+++ b/packages/daemon/src/core/upstreams/activeAttempt.ts
@@ -1,54 +1,20 @@
-import type { Readable } from 'node:stream'
 import type { AttemptEnd } from '@cowsliplead/core/types/dispatch.js'
-import type { LoadReport, RateNotice, ResponseSignals } from '@cowsliplead/core/types/upstream.js'
+import type { LoadReport } from '@cowsliplead/core/types/upstream.js'
 import type { Clock, Milliseconds } from '@cowsliplead/core/types/clock.js'
+import type { AttemptDescription, AttemptRequest, BufferedResponse } from '../../types/attempt.js'
 import type { Dialect, ResponseMetadata } from '../../types/dialect.js'
-import type { ResponseHead, StreamDecision } from '../../types/responseSink.js'
+import type { ResponseHead } from '../../types/responseSink.js'
 import { findHeader } from '../../utils/headers.js'
 import { notifyOfSignals, pauseOf } from '../../utils/responseSignals.js'
+import type { AttemptObserver } from './attemptObserver.js'
 import type { Connection } from './connectionPool.js'
+import type { BytesRefusal } from './connectionObserver.js'
 import type { ExchangeHandler, ExchangeFailure } from './httpConnection.js'
 import type { ParsedHead } from './responseParser.js'
 
 /** Responses up to this size are buffered until they are complete, so that a truncated one can be retried. */
 export const MAX_BUFFERED_RESPONSE_BYTES = 64 * 1024
 
-/** The request that an attempt sends to its upstream. */
-export interface AttemptRequest {
-  readonly method: string
-  readonly path: string
-  readonly headers: readonly string[]
-  readonly body: Buffer | Readable | null
-  /** The id that the response must echo. */
-  readonly echoedId: string
-  /** Whether the request may be sent again to another upstream. */
-  readonly isRetryable: boolean
-}
-
-/** Receives the events of an attempt. */
-export interface AttemptObserver {
-  /** The head of the response says how many requests a second the upstream takes. */
-  onRateNotice (attempt: ActiveAttempt, notice: RateNotice): void
-  /** The head of the response says that the upstream is leaving or asks for a pause. */
-  onSignals (attempt: ActiveAttempt, signals: ResponseSignals): void
-  /** The head of a response has arrived, whatever it says. */
-  onResponse (attempt: ActiveAttempt, isNewConnection: boolean): void
-  /** Bytes were sent or received, which restarts stall detection. */
-  onProgress (attempt: ActiveAttempt): void
-  /** The response is too long to be buffered; `chunks` are those received so far. */
-  onStream (attempt: ActiveAttempt, head: ResponseHead, chunks: readonly Buffer[]): StreamDecision
-  /** The next chunk of a streamed response; returning false pauses reading until `resume`. */
-  onChunk (attempt: ActiveAttempt, chunk: Buffer): boolean
-  /** Called exactly once. A complete response that was not streamed is in `bufferedResponse`. */
-  onEnd (attempt: ActiveAttempt, end: AttemptEnd): void
-}
-
-/** A complete response in memory. */
-export interface BufferedResponse {
-  readonly head: ResponseHead
-  readonly body: readonly Buffer[]
-}
-
 /** Progress of an attempt. `refused`: the upstream states that it did not run the request. */
 type AttemptStage = 'unsent' | 'sent' | 'refused' | 'buffering' | 'streaming' | 'ended'
 
@@ -72,6 +38,8 @@
   wasSent = false
   /** True if the attempt was cancelled before its connection was established; the connection is then not reused. */
   neverSent = false
+  /** Why the bytes received are no valid response; undefined unless the attempt failed for that. */
+  refusal: BytesRefusal | undefined
   /** The complete response, unless it was streamed. */
   bufferedResponse: BufferedResponse | undefined
   private stage: AttemptStage = 'unsent'
@@ -80,11 +48,17 @@
   private retryAfterMs: Milliseconds | undefined
   private bufferedChunks: Buffer[] = []
   private bodyBytes = 0
+  /** Responses that the connection had carried before this attempt. */
+  private readonly earlierResponses: number
+  /** Responses to other requests that were skipped in this attempt, and the status of the last one. */
+  private skippedResponses = 0
+  private skippedStatus: number | undefined
 
   private constructor (private readonly options: ActiveAttemptOptions) {
     this.attemptId = options.attemptId
     this.callId = options.callId
     this.connection = options.connection
+    this.earlierResponses = options.connection.http.completedResponses
   }
 
   static create (options: ActiveAttemptOptions): ActiveAttempt {
@@ -97,6 +71,14 @@
     return body !== null && 'readableEnded' in body && !body.readableEnded
   }
 
+  /** The status that the upstream answered with and what its connection had carried, for the log. */
+  describe (): AttemptDescription {
+    const { head, connection, earlierResponses, skippedResponses, skippedStatus, options: { clock } } = this
+    const connectionAgeMs = Math.round(clock.now() - connection.openedAt)
+    const skipped = skippedResponses === 0 ? undefined : skippedResponses
+    return { upstreamStatus: head?.status, connection: connection.number, connectionAgeMs, earlierResponses, skipped, skippedStatus }
+  }
+
   /** Sends the request. */
   start (): void {
     this.connection.http.send(this.options.request, this)
@@ -127,7 +109,7 @@
     this.options.observer.onResponse(this, this.connection.lastResponseAt === 0)
     this.connection.lastResponseAt = now
     this.connection.idleTimeoutMs = metadata.idleTimeoutMs
-    if (!this.answersAttempt(metadata)) return this.onMismatchedHead()
+    if (!this.answersAttempt(metadata)) return this.onMismatchedHead(head)
     if (metadata.echoedId === undefined) this.connection.hadResponseWithoutId = true
     this.report = metadata.report
     this.notifyOfRate(metadata)
@@ -164,8 +146,9 @@
     this.finish({ kind: 'answered', serverError: head.status >= 500, report: this.report, retryAfterMs: this.retryAfterMs, bytes: this.bodyBytes })
   }
 
-  onFailure (failure: ExchangeFailure): void {
+  onFailure (failure: ExchangeFailure, refusal?: BytesRefusal): void {
     if (this.stage === 'ended') return
+    this.refusal = refusal
     this.finish({ kind: this.endKindOf(failure), report: this.report, retryAfterMs: this.retryAfterMs })
   }
 
@@ -183,8 +166,10 @@
    * response to an earlier request, and the expected one still follows. On a new connection no other response can follow, so
    * the attempt fails.
    */
-  private onMismatchedHead (): 'accept' | 'skip' {
-    if (this.connection.http.hasHistory) return 'skip'
+  private onMismatchedHead ({ status }: ParsedHead): 'accept' | 'skip' {
+    this.skippedResponses += 1
+    this.skippedStatus = status
+    if (this.connection.http.completedResponses > 0) return 'skip'
     this.fail('crossed')
     return 'accept'
   }
--- a/packages/daemon/src/core/upstreams/callObserver.ts
+++ b/packages/daemon/src/core/upstreams/callObserver.ts
@@ -3,12 +3,24 @@
 import type { ActiveCall } from '../callers/activeCall.js'
 import type { ActiveAttempt } from './activeAttempt.js'
 
+/** How a call ended. */
+export interface CallEnd {
+  readonly result: CallResult
+  readonly tookMs: Milliseconds
+  /** Calls of the service that wait for an upstream then. */
+  readonly waitingCalls: number
+  readonly diagnostics: ResultDiagnostics | undefined
+  /** The attempt whose response the caller got; undefined if it got none of an upstream. */
+  readonly attempt: ActiveAttempt | undefined
+}
+
 /** Receives the events of a service's calls. */
 export interface CallObserver {
   onAttempt (call: ActiveCall, attempt: Attempt): void
   onAttemptEnd (call: ActiveCall, attempt: ActiveAttempt, end: AttemptEnd, tookMs: Milliseconds): void
   onCancel (call: ActiveCall, attempt: ActiveAttempt, reason: CancelReason, tookMs: Milliseconds): void
-  onResult (call: ActiveCall, result: CallResult, tookMs: Milliseconds, waitingCalls: number, diagnostics?: ResultDiagnostics): void
+  /** Called when the response to the caller, or the end of a streamed one, has been written. */
+  onResult (call: ActiveCall, end: CallEnd): void
   /** The number of registered upstreams of the service, or of those that this VM uses, has changed. */
   onUpstreams (registered: number, used: number): void
   /** An upstream has named, changed or withdrawn a request rate. */
--- a/packages/daemon/src/core/upstreams/connectionPool.ts
+++ b/packages/daemon/src/core/upstreams/connectionPool.ts
@@ -1,4 +1,5 @@
 import type { Clock, Milliseconds } from '@cowsliplead/core/types/clock.js'
+import type { ConnectionObserver } from './connectionObserver.js'
 import { HttpConnection } from './httpConnection.js'
 
 /** Idle timeout assumed if the upstream does not announce one. */
@@ -10,6 +11,9 @@
 /** A pooled connection to an upstream. */
 export interface Connection {
   readonly http: HttpConnection
+  /** Its number in the pool, counted from 1. */
+  readonly number: number
+  readonly openedAt: Milliseconds
   /** When a response was last received on it; 0 before the first. */
   lastResponseAt: Milliseconds
   /** When it was opened or last returned to the pool. */
@@ -39,6 +43,7 @@
   readonly connectTimeoutMs: Milliseconds
   /** See `HttpConnectionOptions`. */
   readonly onError: (error: Error) => void
+  readonly observer?: ConnectionObserver | undefined
 }
 
 /** Pool of this VM's connections to one upstream. Each carries one request at a time. */
@@ -46,6 +51,7 @@
   /** Most recently used last and reused first, so that busy connections stay proven and surplus ones expire. */
   private readonly idle: Connection[] = []
   private readonly busy = new Set<Connection>()
+  private opened = 0
 
   private constructor (private readonly options: ConnectionPoolOptions, private limit: number, private provenMs: Milliseconds) {}
 
@@ -132,9 +138,11 @@
 
   private open (): Connection | undefined {
     if (this.size >= this.limit) return undefined
-    const { host, port, connectTimeoutMs, clock, onError } = this.options
-    const http = HttpConnection.create({ host, port, connectTimeoutMs, onError, onClose: () => this.removeIdle(connection) })
-    const connection: Connection = { http, lastResponseAt: 0, idleSince: clock.now(), idleTimeoutMs: undefined, hadResponseWithoutId: false }
+    const { host, port, connectTimeoutMs, clock, onError, observer } = this.options
+    const http = HttpConnection.create({ host, port, connectTimeoutMs, onError, observer, onClose: () => this.removeIdle(connection) })
+    const now = clock.now()
+    const number = ++this.opened
+    const connection: Connection = { http, number, openedAt: now, lastResponseAt: 0, idleSince: now, idleTimeoutMs: undefined, hadResponseWithoutId: false }
     return connection
   }
 
--- a/packages/daemon/src/core/upstreams/httpConnection.ts
+++ b/packages/daemon/src/core/upstreams/httpConnection.ts
@@ -1,7 +1,8 @@
 import { Socket } from 'node:net'
-import type { Readable } from 'node:stream'
 import type { Milliseconds } from '@cowsliplead/core/types/clock.js'
 import { findHeader } from '../../utils/headers.js'
+import { uploadBody } from './bodyUpload.js'
+import type { BytesRefusal, ConnectionObserver } from './connectionObserver.js'
 import { encodeHead, type OutgoingRequest } from './outgoingRequest.js'
 import { ResponseParser, type ParsedHead } from './responseParser.js'
 
@@ -22,7 +23,8 @@
   /** Returns false to pause reading until `resume`. */
   onData (chunk: Buffer): boolean
   onComplete (): void
-  onFailure (failure: ExchangeFailure): void
+  /** `refusal` tells why an invalid response is invalid. */
+  onFailure (failure: ExchangeFailure, refusal?: BytesRefusal): void
 }
 
 /** Options of a connection. */
@@ -34,6 +36,7 @@
   readonly onError: (error: Error) => void
   /** Called once when the connection is closed by either side. */
   readonly onClose: () => void
+  readonly observer?: ConnectionObserver | undefined
 }
 
 /** Bytes of responses to other requests that are read before the response to an exchange. */
@@ -83,9 +86,9 @@
     return !this.isClosing && !this.hasSkipped && this.handler === undefined
   }
 
-  /** Whether an earlier exchange on this connection was completed; only then can a stray response arrive. */
-  get hasHistory (): boolean {
-    return this.completed > 0
+  /** Number of responses completed on this connection, stray ones included; a stray one can arrive only after another. */
+  get completedResponses (): number {
+    return this.completed
   }
 
   /** Sends a request as soon as the connection is established. The connection must be reusable. */
@@ -152,48 +155,32 @@
       socket.write(body === null || body.length === 0 ? head : Buffer.concat([head, body]))
     } else {
       socket.write(head)
-      this.upload(body, findHeader(request.headers, 'content-length') === undefined)
+      this.isUploading = true
+      uploadBody(body, socket, {
+        isChunked: findHeader(request.headers, 'content-length') === undefined,
+        isCurrent: () => this.handler === handler && !this.isClosing,
+        onSent: () => handler?.onBodySent(),
+        onEnd: () => (this.isUploading = false),
+        // If the caller does not finish the body, the request cannot be completed on this connection.
+        onError: () => this.close()
+      })
     }
     handler?.onSent()
   }
 
-  private upload (body: Readable, chunked: boolean): void {
-    const { socket, handler } = this
-    const isCurrent = (): boolean => this.handler === handler && !this.isClosing
-    this.isUploading = true
-    body.on('data', (chunk: Buffer) => {
-      if (!isCurrent()) return
-      if (chunked) socket.write(`${chunk.length.toString(16)}\r\n`)
-      const flowing = socket.write(chunk)
-      if (chunked) socket.write('\r\n')
-      handler?.onBodySent()
-      if (flowing) return
-      body.pause()
-      socket.once('drain', () => body.resume())
-    })
-    body.once('end', () => {
-      if (!isCurrent()) return
-      this.isUploading = false
-      if (chunked) socket.write('0\r\n\r\n')
-    })
-    // If the caller does not finish the body, the request cannot be completed on this connection.
-    body.once('error', () => {
-      if (isCurrent()) this.close()
-    })
-  }
-
   private onBytes (chunk: Buffer): void {
     // Unsolicited bytes belong to no request, and neither does anything that follows them on this connection.
-    if (this.handler === undefined) return this.close()
-    if (!this.parse(chunk)) this.failExchange('invalid')
+    if (this.handler === undefined) return this.refuse('bytesWhileIdle')
+    const refusal = this.parse(chunk)
+    if (refusal !== undefined) this.refuse(refusal)
   }
 
-  private parse (chunk: Buffer): boolean {
+  private parse (chunk: Buffer): BytesRefusal | undefined {
     try {
-      return this.parser.parse(chunk)
+      return this.parser.parse(chunk) ? undefined : this.parser.invalidReason
     } catch (error) {
       this.options.onError(error as Error)
-      return false
+      return 'internal'
     }
   }
 
@@ -202,7 +189,9 @@
     if (handler === undefined) return this.close()
     if (!head.keepsConnection) this.isClosing = true
     this.isSkipping = handler.onHead(head) === 'skip'
-    if (this.isSkipping) this.hasSkipped = true
+    if (!this.isSkipping) return
+    this.hasSkipped = true
+    this.options.observer?.onStrayResponse()
   }
 
   private onData (chunk: Buffer): void {
@@ -214,7 +203,7 @@
   /** Closes the connection if the response that belongs to no request goes on too long. */
   private countSkipped (bytes: number): void {
     this.skippedBytes += bytes
-    if (this.skippedBytes > MAX_SKIPPED_BYTES) this.failExchange('invalid')
+    if (this.skippedBytes > MAX_SKIPPED_BYTES) this.refuse('strayTooLong')
   }
 
   private onComplete (hasMore: boolean): void {
@@ -231,7 +220,9 @@
     this.socket.resume()
     // The upstream would read the rest of an unfinished request body as the next request, and the parser would take bytes
     // beyond the response for the beginning of the next one.
-    if (this.isUploading || this.isClosing || this.hasSkipped || hasMore) this.close()
+    if (hasMore) this.refuse('bytesAfterResponse')
+    else if (this.hasSkipped) this.refuse('strayResponse')
+    else if (this.isUploading || this.isClosing) this.close()
     handler.onComplete()
   }
 
@@ -241,11 +232,13 @@
     this.close()
   }
 
-  private failExchange (failure: ExchangeFailure): void {
+  /** Closes the connection for the bytes that arrived on it; an exchange in progress has failed. */
+  private refuse (refusal: BytesRefusal): void {
     const { handler } = this
     this.handler = undefined
+    if (!this.isClosed) this.options.observer?.onBytesRefused(refusal)
     this.close()
-    handler?.onFailure(failure)
+    handler?.onFailure('invalid', refusal)
   }
 
   private close (): void {
--- a/packages/daemon/src/core/upstreams/responseParser.ts
+++ b/packages/daemon/src/core/upstreams/responseParser.ts
@@ -1,5 +1,5 @@
 import { HTTPParser } from 'http-parser-js'
-import { addLineValidation, InvalidResponse, validateHead, type ParserInternals } from './responseValidation.js'
+import { addLineValidation, InvalidResponse, validateHead, type InvalidReason, type ParserInternals } from './responseValidation.js'
 
 /** Status and headers of a response. */
 export interface ParsedHead {
@@ -30,6 +30,8 @@
 /** Parses the responses on one connection. Interim responses (1xx) are dropped. */
 export class ResponseParser {
   private readonly parser = new HTTPParser('RESPONSE')
+  /** Why bytes were refused; undefined if none were. */
+  invalidReason: InvalidReason | undefined
   private isInterim = false
   /** Bytes since the last byte of a body or the last complete response. */
   private framingBytes = 0
@@ -65,10 +67,16 @@
   /** Returns false if the bytes are not a valid response, or exceed a limit. Throws what a receiver of the parts throws. */
   parse (chunk: Buffer): boolean {
     this.framingBytes += chunk.length
+    this.invalidReason = this.execute(chunk)
+    return this.invalidReason === undefined
+  }
+
+  private execute (chunk: Buffer): InvalidReason | undefined {
     try {
-      return typeof this.parser.execute(chunk) === 'number' && this.framingBytes <= MAX_FRAMING_BYTES
+      if (typeof this.parser.execute(chunk) !== 'number') return 'syntax'
+      return this.framingBytes > MAX_FRAMING_BYTES ? 'headTooLong' : undefined
     } catch (error) {
-      if (error instanceof InvalidResponse) return false
+      if (error instanceof InvalidResponse) return error.reason
       throw error
     }
   }
--- a/packages/daemon/src/core/upstreams/responseValidation.ts
+++ b/packages/daemon/src/core/upstreams/responseValidation.ts
@@ -27,8 +27,19 @@
   readonly end: number
 }
 
+/** Why bytes are not a valid response. `syntax`: the parser cannot read them; `headTooLong`: what precedes or follows a body has no end. */
+export type InvalidReason = 'status' | 'statusLineWithin' | 'headerLine' | 'header' | 'framing' | 'chunkSize' | 'syntax' | 'headTooLong' | 'internal'
+
 /** A response that violates HTTP, or that is not passed on for another reason. */
-export class InvalidResponse extends Error {}
+export class InvalidResponse extends Error {
+  private constructor (readonly reason: InvalidReason, message: string, options?: ErrorOptions) {
+    super(message, options)
+  }
+
+  static create (reason: InvalidReason, message: string, options?: ErrorOptions): InvalidResponse {
+    return new InvalidResponse(reason, message, options)
+  }
+}
 
 /** Throws if a head cannot be passed on to a caller, or leaves the end of its body uncertain. */
 export function validateHead (status: number, reason: string, headers: readonly string[]): void {
@@ -44,8 +55,8 @@
 }
 
 function validateStatusLine (status: number, reason: string): void {
-  if (status < MIN_STATUS || status > MAX_STATUS || status === SWITCHING_PROTOCOLS) throw new InvalidResponse(`invalid status ${status}`)
-  if (STATUS_LINE_WITHIN.test(reason)) throw new InvalidResponse('a status line within a status line')
+  if (status < MIN_STATUS || status > MAX_STATUS || status === SWITCHING_PROTOCOLS) throw InvalidResponse.create('status', `invalid status ${status}`)
+  if (STATUS_LINE_WITHIN.test(reason)) throw InvalidResponse.create('statusLineWithin', 'a status line within a status line')
 }
 
 /** A head that Node refuses to write could not be passed on to the caller. */
@@ -54,10 +65,10 @@
     for (let i = 0; i + 1 < headers.length; i += 2) {
       validateHeaderName(headers[i] as string)
       validateHeaderValue(headers[i] as string, headers[i + 1] as string)
-      if (STATUS_LINE_WITHIN.test(headers[i + 1] as string)) throw new Error('a status line within a header')
+      if (STATUS_LINE_WITHIN.test(headers[i + 1] as string)) throw InvalidResponse.create('statusLineWithin', 'a status line within a header')
     }
   } catch (error) {
-    throw new InvalidResponse('invalid header', { cause: error })
+    throw error instanceof InvalidResponse ? error : InvalidResponse.create('header', 'invalid header', { cause: error })
   }
 }
 
@@ -67,18 +78,18 @@
   for (let i = 0; i + 1 < headers.length; i += 2) {
     const name = (headers[i] as string).toLowerCase()
     const value = headers[i + 1] as string
-    if (name === 'content-length' && !LENGTH.test(value)) throw new InvalidResponse('invalid content length')
-    if (name === 'transfer-encoding' && value.toLowerCase() !== 'chunked') throw new InvalidResponse('unknown transfer encoding')
+    if (name === 'content-length' && !LENGTH.test(value)) throw InvalidResponse.create('framing', 'invalid content length')
+    if (name === 'transfer-encoding' && value.toLowerCase() !== 'chunked') throw InvalidResponse.create('framing', 'unknown transfer encoding')
     if (name === 'content-length' || name === 'transfer-encoding') framings.push(name)
   }
-  if (framings.length > 1) throw new InvalidResponse(`several framings: ${framings.join()}`)
+  if (framings.length > 1) throw InvalidResponse.create('framing', `several framings: ${framings.join()}`)
 }
 
 function addHeaderLineValidation (parser: ParserInternals): void {
   const { parseHeader } = parser
   parser.parseHeader = (line, headers) => {
     const isContinuation = headers.length > 0 && CONTINUATION_LINE.test(line)
-    if (!HEADER_LINE.test(line) && !isContinuation) throw new InvalidResponse('invalid header line')
+    if (!HEADER_LINE.test(line) && !isContinuation) throw InvalidResponse.create('headerLine', 'invalid header line')
     parseHeader.call(parser, line, headers)
   }
 }
@@ -89,7 +100,7 @@
   parser.BODY_CHUNKHEAD = () => {
     parser.consumeLine = () => {
       const line = consumeLine.call(parser)
-      if (line !== undefined && !CHUNK_HEAD.test(line)) throw new InvalidResponse('invalid chunk size line')
+      if (line !== undefined && !CHUNK_HEAD.test(line)) throw InvalidResponse.create('chunkSize', 'invalid chunk size line')
       return line
     }
     try {
--- a/packages/daemon/src/core/upstreams/serviceAttempts.ts
+++ b/packages/daemon/src/core/upstreams/serviceAttempts.ts
@@ -6,7 +6,8 @@
 import type { ResponseHead, StreamDecision } from '../../types/responseSink.js'
 import type { Dialect } from '../../types/dialect.js'
 import type { ActiveCall } from '../callers/activeCall.js'
-import { ActiveAttempt, type AttemptObserver, type BufferedResponse } from './activeAttempt.js'
+import { ActiveAttempt } from './activeAttempt.js'
+import type { AttemptObserver } from './attemptObserver.js'
 import type { CallObserver } from './callObserver.js'
 import type { ConnectionPool } from './connectionPool.js'
 import type { ContactObserver } from './loadProber.js'
@@ -39,7 +40,7 @@
 /** The attempts in progress of one service: starts and cancels them, and passes their events to the dispatcher and the callers. */
 export class ServiceAttempts implements AttemptObserver {
   /** The attempt whose end the dispatcher is processing; its buffered response is delivered to the caller. */
-  private endingAttempt: ActiveAttempt | undefined
+  private ending: ActiveAttempt | undefined
   /** Attempts whose response is paused until the caller reads more. */
   private readonly paused = new Set<ActiveAttempt>()
   /** Attempts whose caller is still sending the body. */
@@ -57,9 +58,9 @@
     return this.paused.size + this.uploading.size
   }
 
-  /** The buffered response of the attempt whose end the dispatcher is processing. */
-  get endingResponse (): BufferedResponse | undefined {
-    return this.endingAttempt?.bufferedResponse
+  /** The attempt with this id, while the dispatcher is processing its end. */
+  endingAttempt (attemptId: number): ActiveAttempt | undefined {
+    return this.ending?.attemptId === attemptId ? this.ending : undefined
   }
 
   /** Starts an attempt; it ends at once as not run if there is no connection. */
@@ -156,10 +157,10 @@
       this.options.observer?.onAttemptEnd(call, attempt, end, this.options.clock.now() - tracked.startedAt)
     }
     // The dispatcher may cancel other attempts of the call, whose ends call this method recursively.
-    const outer = this.endingAttempt
-    this.endingAttempt = attempt
+    const outer = this.ending
+    this.ending = attempt
     this.options.dispatcher.onAttemptEnd(attempt.attemptId, end)
-    this.endingAttempt = outer
+    this.ending = outer
     this.options.onChange()
   }
 
--- a/packages/daemon/src/core/upstreams/serviceForwarder.ts
+++ b/packages/daemon/src/core/upstreams/serviceForwarder.ts
@@ -10,7 +10,7 @@
 import type { CallObserver } from './callObserver.js'
 import { LoadProber, type ContactObserver } from './loadProber.js'
 import { ServiceAttempts } from './serviceAttempts.js'
-import { ServiceCounters } from './serviceCounters.js'
+import type { ServiceCounters } from './serviceCounters.js'
 import type { TickTimer } from '../supervision/tickTimer.js'
 
 /** Options of a service forwarder. */
@@ -19,6 +19,8 @@
   readonly clock: Clock
   readonly tickTimer: TickTimer
   readonly connections: UpstreamConnections
+  /** Counts the events of the calls here and those of the connections elsewhere. */
+  readonly counters: ServiceCounters
   readonly dialect: Dialect
   readonly createDispatcher: (port: DispatchPort) => Dispatcher
   /** Called when requests are marked as suspect. */
@@ -37,7 +39,7 @@
 export class ServiceForwarder implements DispatchPort {
   readonly service: string
   readonly dispatcher: Dispatcher
-  readonly counters = ServiceCounters.create()
+  readonly counters: ServiceCounters
   private registered = 0
   /** Number of used upstreams that the observer was last notified of. */
   private reportedUsed = 0
@@ -53,6 +55,7 @@
     this.clock = options.clock
     this.tickTimer = options.tickTimer
     this.connections = options.connections
+    this.counters = options.counters
     this.dispatcher = options.createDispatcher(this)
     const { dispatcher, connections, clock, counters, options: { dialect, contacts, observer } } = this
     this.attempts = ServiceAttempts.create({
@@ -172,13 +175,15 @@
     const call = this.calls.get(callId)
     if (call === undefined) return
     this.calls.delete(callId)
-    this.options.observer?.onResult(call, result, this.clock.now() - call.call.arrivedAt, this.dispatcher.waitingCalls, diagnostics)
+    const tookMs = this.clock.now() - call.call.arrivedAt
+    const attempt = result.kind === 'delivered' ? this.attempts.endingAttempt(result.attemptId) : undefined
     try {
-      call.finish(result, this.attempts.endingResponse)
+      call.finish(result, attempt?.bufferedResponse)
     } catch (error) {
       this.options.onError(error as Error)
       call.sink.sendError('internal', '')
     }
+    this.options.observer?.onResult(call, { result, tookMs, waitingCalls: this.dispatcher.waitingCalls, diagnostics, attempt })
   }
 
   startAttempt (attempt: Attempt): void {
--- a/packages/daemon/src/core/upstreams/upstreamConnections.ts
+++ b/packages/daemon/src/core/upstreams/upstreamConnections.ts
@@ -2,6 +2,7 @@
 import type { Clock, Milliseconds } from '@cowsliplead/core/types/clock.js'
 import { DEFAULT_ROUTING_POLICY, NO_POLICY_EXCEPTIONS, type PolicyExceptions, type RoutingPolicy } from '@cowsliplead/core/types/routingPolicy.js'
 import type { Upstream } from '@cowsliplead/core/types/upstream.js'
+import type { ConnectionObserver } from './connectionObserver.js'
 import { ConnectionPool } from './connectionPool.js'
 
 /** Settings of connections to upstreams. */
@@ -9,6 +10,7 @@
   readonly connectTimeoutMs: Milliseconds
   /** See `HttpConnectionOptions`. */
   readonly onError: (error: Error) => void
+  readonly observer?: ConnectionObserver | undefined
 }
 
 /**
--- a/packages/daemon/src/types/responseSink.ts
+++ b/packages/daemon/src/types/responseSink.ts
@@ -23,6 +23,8 @@
 
 /** Receives the outcome of a call. */
 export interface ResponseSink {
+  /** The status that was written for the caller; undefined if none was. */
+  readonly sentStatus: number | undefined
   /** Sends a complete response; its body is delimited for the caller as it was by the upstream. */
   deliver (head: ResponseHead, body: readonly Buffer[]): void
   /** Sends the first part of a long response; the sink calls `resume` to continue after a pause. */
