Keep the responses behind one that breaks off on a pipelined connection

Long responses were passed on before they were complete, and requests behind them were passed on at once, although only the close of the connection can show that a streamed response broke off. While others are pending on the connection, responses of up to 1 MB are now held until they are complete, and repeated or answered 502 if they break off; a request that arrives behind a response that is being streamed waits until that one has ended at its upstream.

Tests changed: transfer.test.ts passes the new part of a sink; the mixed case of leavingCallers.test.ts uses a response of 1.5 MB, since one of 100 KB is held now and no longer streamed.

--- a/packages/daemon/__tests__/leavingCallers.test.ts
+++ b/packages/daemon/__tests__/leavingCallers.test.ts
@@ -12,6 +12,9 @@
 import { PipeliningCaller } from './pipeliningCaller.js'
 
 const KIND: RequestKind = { name: 'lookup', weight: 1, idempotent: true, deadlineMs: 5000, cancellable: true, hedgeable: false }
+/** Longer than what is held for a caller that pipelines. */
+const LONG_BYTES = 1_500_000
+
 const PATHS = ['/permits/1', '/permits/2', '/permits/3']
 
 describe('callers that leave with several requests on the way', () => {
@@ -24,10 +27,11 @@
     started = 0
     rig = await Rig.create((request, response) => {
       if (request.url === '/permits/quick') return reply(response, 'quick')
+      if (request.url === '/permits/whole') return reply(response, Buffer.alloc(60_000))
       started++
       working.add(response)
       response.once('close', () => working.delete(response))
-      if (request.url === '/permits/long') response.writeHead(200).write(Buffer.alloc(100_000))
+      if (request.url === '/permits/long') response.writeHead(200, { 'content-length': LONG_BYTES }).write(Buffer.alloc(LONG_BYTES / 2))
     })
   })
 
@@ -78,6 +82,22 @@
     expect({ started, connections }).to.deep.equal({ started: atWork, connections: 0 })
   })
 
+  // Guards against a close that is not noticed because the daemon has stopped reading from the connection.
+  it('cancels them while long responses wait behind another', async () => {
+    const daemon = await rig.start()
+    const caller = PipeliningCaller.connect(daemon.ports.public)
+    caller.get('/permits/1', '/permits/whole', '/permits/long')
+    await waitUntil(() => working.size === 2)
+    await sleep(50)
+    caller.get('/permits/2')
+    await waitUntil(() => working.size === 2)
+    await sleep(50)
+    const leftAt = performance.now()
+    caller.leave()
+    await waitUntil(() => working.size === 0 && daemon.status().callsInFlight === 0)
+    expect(performance.now() - leftAt).to.be.below(1000)
+  })
+
   // Guards against uploads that are counted for good because their caller broke them off behind another request.
   it('ends the uploads that they have not finished', async () => {
     const daemon = await rig.start()
--- a/packages/daemon/__tests__/transfer.test.ts
+++ b/packages/daemon/__tests__/transfer.test.ts
@@ -5,12 +5,14 @@
 import { FleetMembers } from '@cowsliplead/core/core/membership/fleetMembers.js'
 import { SeededRandom } from '@cowsliplead/core/types/randomSource.js'
 import { CallerSink } from '../src/core/callers/callerSink.js'
+import { Pipelines } from '../src/core/callers/pipelines.js'
 import { readBody } from '../src/core/callers/requestBody.js'
 import { MonotonicClock } from '../src/core/gateway/monotonicClock.js'
 import { HandoverSender } from '../src/core/handover/handoverSender.js'
 import { ProductDialect } from '../src/core/productDialect.js'
 import { responseHeaders } from '../src/utils/headers.js'
-import { call, open, portOf, reply, waitUntil } from './harness.js'
+import { call, open, portOf, reply, throwError, waitUntil } from './harness.js'
+import { PipeliningCaller } from './pipeliningCaller.js'
 
 const LARGE_BODY = Buffer.alloc(600_000, 'x')
 
@@ -45,8 +47,9 @@
     const limit = HandoverLimit.create({ clock, calls: 10, perOwnCall: 0 })
     const dialect = ProductDialect.create()
     const sender = HandoverSender.create({ vmId: 'sender', clock, dialect, choice, limit, onEnd: (_call, { outcome }) => void ends.push(outcome), onError: () => {} })
+    const pipelines = Pipelines.create(clock, throwError)
     const front = await listen((request, response) => {
-      const sink = CallerSink.create(response, { requestId: 'id', dialect, closesConnection: () => false })
+      const sink = CallerSink.create(response, { requestId: 'id', dialect, closesConnection: () => false, exchange: pipelines.enter(response) })
       const arrivedAt = clock.now()
       readBody(request, {
         timeoutMs: 1000,
@@ -122,6 +125,20 @@
   })
 
   // Guards against long bodies that are held in memory or cut off.
+  // Guards against responses that are lost with the connection because one before them broke off between the VMs.
+  it('sends an error for a response that breaks off before others of its connection', async () => {
+    const caller = PipeliningCaller.connect(await start((request, response) => {
+      if (request.url !== '/long') return reply(response, 'answer behind it')
+      response.writeHead(200, { 'content-length': LARGE_BODY.length })
+      response.write(LARGE_BODY.subarray(1000))
+      setTimeout(() => response.destroy(), 50)
+    }))
+    caller.get('/long', '/short')
+    await waitUntil(() => caller.isClosed || caller.received.endsWith('answer behind it'))
+    expect(caller.statuses).to.deep.equal([502, 200])
+    caller.leave()
+  })
+
   it('streams long bodies in both directions', async () => {
     const port = await start((request, response) => void request.pipe(response))
     const result = await call(port, 'POST', '/issues/1', { body: LARGE_BODY })
--- a/packages/daemon/src/core/callers/activeCall.ts
+++ b/packages/daemon/src/core/callers/activeCall.ts
@@ -3,7 +3,8 @@
 import type { Milliseconds } from '@cowsliplead/core/types/clock.js'
 import type { Dialect } from '../../types/dialect.js'
 import type { ResponseSink } from '../../types/responseSink.js'
-import type { AttemptRequest, BufferedResponse } from '../upstreams/activeAttempt.js'
+import type { BufferedResponse } from '../upstreams/activeAttempt.js'
+import type { AttemptRequest } from '../upstreams/attemptRequest.js'
 import type { Connection } from '../upstreams/connectionPool.js'
 
 /** The part of a call's request that all attempts share. */
@@ -52,7 +53,15 @@
   nextAttempt (upstreamId: string, deadlineAt: Milliseconds, now: Milliseconds): AttemptRequest {
     const { method, path, body, requestId } = this.request
     const { headers, echoedId } = this.dialect.attemptHeaders({ requestId, attemptNumber: ++this.attempts, upstreamId, deadlineAt, now })
-    return { method, path, headers: [...this.request.headers, ...headers], body, echoedId, isRetryable: this.call.kind.idempotent }
+    return {
+      method,
+      path,
+      headers: [...this.request.headers, ...headers],
+      body,
+      echoedId,
+      isRetryable: this.call.kind.idempotent,
+      tryHold: bytes => this.sink.tryHold(bytes)
+    }
   }
 
   /** Sends the caller what it has not yet received: a buffered response, the end of a streamed one or an error. */
--- a/packages/daemon/src/core/callers/proxy.ts
+++ b/packages/daemon/src/core/callers/proxy.ts
@@ -12,6 +12,7 @@
 import { CallerSink } from './callerSink.js'
 import { ActiveCall } from './activeCall.js'
 import { fingerprintOf } from './fingerprint.js'
+import type { PipelinedExchange } from './pipelinedExchange.js'
 import { Pipelines } from './pipelines.js'
 import { readBody, type RequestBody } from './requestBody.js'
 import type { RequestIds } from './requestIds.js'
@@ -94,8 +95,8 @@
   private readonly unforwardedHeaders: ReadonlySet<string>
 
   private constructor (private readonly options: ProxyOptions) {
-    const { clock, dialect } = options
-    this.pipelines = Pipelines.create(clock)
+    const { clock, dialect, onError } = options
+    this.pipelines = Pipelines.create(clock, onError)
     this.unforwardedHeaders = new Set([...dialect.strippedRequestHeaders, ...dialect.credentialHeaders])
   }
 
@@ -110,19 +111,24 @@
 
   /** Handles one request of a caller; `elapsedMs` is the time since it arrived at the VM that has handed it over. */
   handle (request: IncomingMessage, response: ServerResponse, elapsedMs?: Milliseconds): void {
-    const { clock, dialect, ids, handover } = this.options
+    const { clock, dialect, ids } = this.options
     const arrivedAt = clock.now() - (elapsedMs ?? 0)
     this.inFlight++
-    this.pipelines.enter(response)
+    const exchange = this.pipelines.enter(response)
     response.once('close', () => {
       this.inFlight--
     })
     const callerId = dialect.callerRequestId(request.headers)
     const requestId = dialect.forwardsCallerIds && callerId !== undefined ? callerId : ids.next(callerId)
     const isHandedOver = elapsedMs !== undefined
-    const sink = this.createSink(request, response, callerId ?? requestId, isHandedOver)
+    const sink = this.createSink(response, exchange, callerId ?? requestId, isHandedOver)
     const arrived = { request, response, sink, requestId, arrivedAt, isHandedOver }
-    if (!isHandedOver && handover?.tryHandOver(arrived, body => this.serve(arrived, body)) === true) return
+    exchange.whenSafe(() => this.begin(arrived))
+  }
+
+  private begin (arrived: ArrivedRequest): void {
+    const { handover } = this.options
+    if (!arrived.isHandedOver && handover?.tryHandOver(arrived, body => this.serve(arrived, body)) === true) return
     this.serve(arrived)
   }
 
@@ -174,11 +180,11 @@
     })
   }
 
-  private createSink (request: IncomingMessage, response: ServerResponse, requestId: string, isForPeer: boolean): CallerSink {
+  private createSink (response: ServerResponse, exchange: PipelinedExchange, requestId: string, isForPeer: boolean): CallerSink {
     const { dialect, stopPlan } = this.options
     // Closing after an earlier response would drop the requests that the caller has pipelined behind it.
-    const closesConnection = (): boolean => stopPlan() !== undefined && this.pipelines.isLast(request.socket)
-    return CallerSink.create(response, { requestId, dialect, closesConnection, isForPeer })
+    const closesConnection = (): boolean => stopPlan() !== undefined && !exchange.isShared
+    return CallerSink.create(response, { requestId, dialect, closesConnection, exchange, isForPeer })
   }
 
   /** An exception in one call must not end the process and with it all other calls. */
--- a/packages/daemon/src/core/handover/callerRelay.ts
+++ b/packages/daemon/src/core/handover/callerRelay.ts
@@ -1,21 +1,30 @@
 import type { ServerResponse } from 'node:http'
 import type { ResponseHead } from '../../types/responseSink.js'
 import { abortResponse } from '../../utils/abortResponse.js'
-import { responseHeaders } from '../../utils/headers.js'
+import { findHeader, responseHeaders } from '../../utils/headers.js'
+import type { CallerSink } from '../callers/callerSink.js'
 
 const NO_HEADERS: ReadonlySet<string> = new Set()
 
+/** A response that is not sent before it is complete. */
+interface HeldResponse {
+  readonly head: ResponseHead
+  readonly chunks: Buffer[]
+  bytes: number
+}
+
 /**
  * Passes another VM's response on to a caller, unchanged. A response without a length is held until it is complete, because the
- * caller could not tell a part of its body from the whole. The other VM has buffered such a response, so it is short.
+ * caller could not tell a part of its body from the whole. The other VM has buffered such a response, so it is short. Others are
+ * held as those of this VM's upstreams are.
  */
 export class CallerRelay {
-  private held: { readonly head: ResponseHead, readonly chunks: Buffer[] } | undefined
+  private held: HeldResponse | undefined
 
-  private constructor (private readonly response: ServerResponse, private readonly closesConnection: () => boolean) {}
+  private constructor (private readonly response: ServerResponse, private readonly sink: CallerSink) {}
 
-  static create (response: ServerResponse, closesConnection: () => boolean): CallerRelay {
-    return new CallerRelay(response, closesConnection)
+  static create (response: ServerResponse, sink: CallerSink): CallerRelay {
+    return new CallerRelay(response, sink)
   }
 
   /** Whether the caller has received nothing yet. */
@@ -24,21 +33,29 @@
   }
 
   start (head: ResponseHead): void {
-    if (head.isFramed) this.writeHead(head)
-    else this.held = { head, chunks: [] }
+    const length = Number(findHeader(head.rawHeaders, 'content-length') ?? 1)
+    if (!head.isFramed || this.sink.tryHold(length)) this.held = { head, chunks: [], bytes: 0 }
+    else this.startStream(head)
   }
 
   /** Returns false to request a pause until the response drains. */
   write (chunk: Buffer): boolean {
-    if (this.held === undefined) return this.response.write(chunk)
-    this.held.chunks.push(chunk)
-    return true
+    const { held } = this
+    if (held === undefined) return this.response.write(chunk)
+    held.chunks.push(chunk)
+    held.bytes += chunk.length
+    if (!held.head.isFramed || this.sink.tryHold(held.bytes)) return true
+    this.held = undefined
+    this.startStream(held.head)
+    return this.response.write(Buffer.concat(held.chunks))
   }
 
   end (): void {
-    if (this.held === undefined) return void this.response.end()
-    this.writeHead(this.held.head)
-    this.response.end(Buffer.concat(this.held.chunks))
+    const { held, sink: { exchange } } = this
+    if (held === undefined) {
+      this.response.end()
+      exchange.onStreamEnd()
+    } else exchange.whenTurn(() => this.sendHeld(held))
   }
 
   /** Closes the connection, so that what was sent does not look complete. */
@@ -46,9 +63,21 @@
     abortResponse(this.response)
   }
 
-  private writeHead ({ status, rawHeaders, isFramed }: ResponseHead): void {
-    const headers = responseHeaders(rawHeaders, NO_HEADERS)
-    if (this.closesConnection() || !isFramed) headers.push('connection', 'close')
+  private startStream (head: ResponseHead): void {
+    this.sink.exchange.onStream()
+    this.writeHead(head, [])
+  }
+
+  private sendHeld ({ head, chunks, bytes }: HeldResponse): void {
+    // Only the close of the connection would end the body, and take the responses behind it along.
+    if (!head.isFramed && this.sink.exchange.isShared) this.writeHead({ ...head, isFramed: true }, ['content-length', String(bytes)])
+    else this.writeHead(head, [])
+    this.response.end(Buffer.concat(chunks))
+  }
+
+  private writeHead ({ status, rawHeaders, isFramed }: ResponseHead, added: readonly string[]): void {
+    const headers = [...responseHeaders(rawHeaders, NO_HEADERS), ...added]
+    if (this.sink.closesConnection || !isFramed) this.sink.closeAfter(headers)
     // The caller's body is delimited in the same way as the upstream's.
     if (!isFramed) this.response.useChunkedEncodingByDefault = false
     this.response.writeHead(status, headers)
--- a/packages/daemon/src/core/handover/handoverSink.ts
+++ b/packages/daemon/src/core/handover/handoverSink.ts
@@ -41,6 +41,10 @@
     this.options.inner.abortStream()
   }
 
+  tryHold (bytes: number): boolean {
+    return this.options.inner.tryHold(bytes)
+  }
+
   sendError (code: ResultCodeName, detail: string, options?: ErrorResponseOptions): void {
     const { inner, mayHandOver, handOver } = this.options
     const hasNotRun = RESULT_CODES[code].outcome === 'notRun' && REMEDIABLE.has(code)
--- a/packages/daemon/src/core/handover/transfer.ts
+++ b/packages/daemon/src/core/handover/transfer.ts
@@ -64,7 +64,7 @@
     private readonly options: HandoverSenderOptions,
     private readonly done: (end: TransferEnd) => void
   ) {
-    this.relay = CallerRelay.create(call.response, () => call.sink.closesConnection)
+    this.relay = CallerRelay.create(call.response, call.sink)
   }
 
   /** Starts a transfer; `done` is called once. */
--- a/packages/daemon/src/core/upstreams/activeAttempt.ts
+++ b/packages/daemon/src/core/upstreams/activeAttempt.ts
@@ -1,4 +1,3 @@
-import type { Readable } from 'node:stream'
 import type { AttemptEnd } from '@cowsliplead/core/types/dispatch.js'
 import type { LoadReport, RateNotice, ResponseSignals } from '@cowsliplead/core/types/upstream.js'
 import type { Clock, Milliseconds } from '@cowsliplead/core/types/clock.js'
@@ -6,6 +5,7 @@
 import type { ResponseHead, StreamDecision } from '../../types/responseSink.js'
 import { findHeader } from '../../utils/headers.js'
 import { notifyOfSignals, pauseOf } from '../../utils/responseSignals.js'
+import type { AttemptRequest } from './attemptRequest.js'
 import type { Connection } from './connectionPool.js'
 import type { ExchangeHandler, ExchangeFailure } from './httpConnection.js'
 import type { ParsedHead } from './responseParser.js'
@@ -13,18 +13,6 @@
 /** Responses up to this size are buffered until they are complete, so that a truncated one can be retried. */
 export const MAX_BUFFERED_RESPONSE_BYTES = 64 * 1024
 
-/** The request that an attempt sends to its upstream. */
-export interface AttemptRequest {
-  readonly method: string
-  readonly path: string
-  readonly headers: readonly string[]
-  readonly body: Buffer | Readable | null
-  /** The id that the response must echo. */
-  readonly echoedId: string
-  /** Whether the request may be sent again to another upstream. */
-  readonly isRetryable: boolean
-}
-
 /** Receives the events of an attempt. */
 export interface AttemptObserver {
   /** The head of the response says how many requests a second the upstream takes. */
@@ -152,7 +140,7 @@
     if (this.stage === 'streaming') return this.options.observer.onChunk(this, chunk)
     if (this.stage !== 'buffering') return true
     this.bufferedChunks.push(chunk)
-    return this.bodyBytes <= MAX_BUFFERED_RESPONSE_BYTES || this.startStream()
+    return this.mayBuffer(this.bodyBytes) || this.startStream()
   }
 
   onComplete (): void {
@@ -212,10 +200,14 @@
   private startBody (headers: readonly string[]): void {
     this.stage = 'buffering'
     const length = Number(findHeader(headers, 'content-length') ?? 0)
-    if (length <= MAX_BUFFERED_RESPONSE_BYTES || this.options.request.method === 'HEAD') return
+    if (this.options.request.method === 'HEAD' || this.mayBuffer(length)) return
     if (!this.startStream()) this.connection.http.pause()
   }
 
+  private mayBuffer (bytes: number): boolean {
+    return bytes <= MAX_BUFFERED_RESPONSE_BYTES || this.options.request.tryHold(bytes)
+  }
+
   /** Returns false to pause reading. */
   private startStream (): boolean {
     const chunks = this.bufferedChunks
--- a/packages/daemon/src/types/responseSink.ts
+++ b/packages/daemon/src/types/responseSink.ts
@@ -33,6 +33,8 @@
   endStream (): void
   /** Aborts a truncated long response, so that what was sent does not look complete. */
   abortStream (): void
+  /** Whether a response of this length is held until it is complete, because others of the connection depend on it. */
+  tryHold (bytes: number): boolean
   /** Sends an error response with a result code. */
   sendError (code: ResultCodeName, detail: string, options?: ErrorResponseOptions): void
 }
