--- a/packages/daemon/src/core/callers/activeCall.ts
+++ b/packages/daemon/src/core/callers/activeCall.ts
@@ -52,7 +52,15 @@
   nextAttempt (upstreamId: string, deadlineAt: Milliseconds, now: Milliseconds): AttemptRequest {
     const { method, path, body, requestId } = this.request
     const { headers, echoedId } = this.dialect.attemptHeaders({ requestId, attemptNumber: ++this.attempts, upstreamId, deadlineAt, now })
-    return { method, path, headers: [...this.request.headers, ...headers], body, echoedId, isRetryable: this.call.kind.idempotent }
+    return {
+      method,
+      path,
+      headers: [...this.request.headers, ...headers],
+      body,
+      echoedId,
+      isRetryable: this.call.kind.idempotent,
+      tryHold: bytes => this.sink.tryHold(bytes)
+    }
   }
 
   /** Sends the caller what it has not yet received: a buffered response, the end of a streamed one or an error. */
--- a/packages/daemon/src/core/handover/transfer.ts
+++ b/packages/daemon/src/core/handover/transfer.ts
@@ -73,7 +73,7 @@
     private readonly options: TransferOptions,
     private readonly done: (end: TransferEnd) => void
   ) {
-    this.relay = CallerRelay.create(call.response, () => call.sink.closesConnection)
+    this.relay = CallerRelay.create(call.response, call.sink)
   }
 
   /** Starts a transfer; `done` is called once. */
--- a/packages/daemon/src/core/upstreams/activeAttempt.ts
+++ b/packages/daemon/src/core/upstreams/activeAttempt.ts
@@ -134,7 +134,7 @@
     this.bodyBytes += chunk.length
     if (this.stage === 'streaming') return this.options.observer.onChunk(this, chunk)
     if (this.stage !== 'buffering') return true
-    if (this.bodyBytes > MAX_BUFFERED_RESPONSE_BYTES) return this.startStream([...this.buffered.take(), chunk])
+    if (!this.mayBuffer(this.bodyBytes)) return this.startStream([...this.buffered.take(), chunk])
     this.buffered.append(chunk)
     return true
   }
@@ -199,10 +199,14 @@
   private startBody (headers: readonly string[]): void {
     this.stage = 'buffering'
     const length = Number(findHeader(headers, 'content-length') ?? 0)
-    if (length <= MAX_BUFFERED_RESPONSE_BYTES || this.options.request.method === 'HEAD') return
+    if (this.options.request.method === 'HEAD' || this.mayBuffer(length)) return
     if (!this.startStream([])) this.connection.http.pause()
   }
 
+  private mayBuffer (bytes: number): boolean {
+    return bytes <= MAX_BUFFERED_RESPONSE_BYTES || this.options.request.tryHold(bytes)
+  }
+
   /** Passes on `chunks` and what follows them. Returns false to pause reading. */
   private startStream (chunks: readonly Buffer[]): boolean {
     this.stage = 'streaming'
--- a/packages/daemon/src/types/attempt.ts
+++ b/packages/daemon/src/types/attempt.ts
@@ -12,6 +12,8 @@
   readonly echoedId: string
   /** Whether the request may be sent again to another upstream. */
   readonly isRetryable: boolean
+  /** Whether a response of this length is buffered, although it is longer than usual. */
+  readonly tryHold: (bytes: number) => boolean
 }
 
 /** A complete response in memory. */
