Keep a stalled attempt until another one is answered

Cause: that a replacement has started was taken for that it runs. Now the stalled attempt goes on beside its replacement until one of them is answered, the deadline comes or the caller leaves; it is then cancelled as stalled, which frees its slot and connection. If the replacement ends in any other way, the stalled attempt is checked again at once, and another replacement may follow within attempts and budget. What the stall tells about the upstream (failure, service time) and its idle connections counts when the replacement starts, as before. A server error of the replacement isn't withheld for the sake of a stalled attempt.

--- a/packages/core/__tests__/dispatcherHarness.ts
+++ b/packages/core/__tests__/dispatcherHarness.ts
@@ -33,6 +33,8 @@
 export class Harness {
   readonly clock = FakeClock.create(1_000)
   readonly started: Attempt[] = []
+  /** Ids of the attempts that have stalled. */
+  readonly stalled: number[] = []
   readonly cancelled: { id: number, reason: CancelReason }[] = []
   readonly results = new Map<number, CallResult>()
   readonly probes: string[] = []
@@ -53,6 +55,7 @@
       port: {
         startAttempt: attempt => this.started.push(attempt),
         cancelAttempt: (id, reason) => this.cancelled.push({ id, reason }),
+        onStall: id => this.stalled.push(id),
         finishCall: (id, result) => this.finish(id, result),
         sendProbe: id => this.probes.push(id),
         shareSuspects: marks => this.sharedMarks.push(...marks)
--- a/packages/core/__tests__/stall.test.ts
+++ b/packages/core/__tests__/stall.test.ts
@@ -11,8 +11,12 @@
     const id = harness.submit(UNHEDGED)
     const first = harness.attemptOf(id)
     harness.advance(70)
+    const replacement = harness.attemptOf(id)
+    expect(replacement).to.include({ purpose: 'retry', provenConnection: true })
+    expect(harness.cancelled).to.deep.equal([])
+    harness.end(replacement)
     expect(harness.cancelled).to.deep.equal([{ id: first.id, reason: 'stalled' }])
-    expect(harness.attemptOf(id)).to.include({ purpose: 'retry', provenConnection: true })
+    expect(harness.results.get(id)).to.deep.equal({ kind: 'delivered', attemptId: replacement.id })
   })
 
   // Guards against interrupting a response that arrives slowly but steadily.
--- a/packages/core/src/core/dispatch/attemptEventHandler.ts
+++ b/packages/core/src/core/dispatch/attemptEventHandler.ts
@@ -3,7 +3,7 @@
 import type { LoadReport, RateNotice, ResponseSignals } from '../../types/upstream.js'
 import { resultCodeOf, isUpstreamFailure, failureResult } from './attemptEnds.js'
 import type { CallEngine } from './callEngine.js'
-import type { AttemptState, CallState } from './callState.js'
+import { recordProgress, type AttemptState, type CallState } from './callState.js'
 import { mayHaveCausedCrash, recordCrash } from '../health/crashes.js'
 import { updateTrustFromLatency, updateTrustFromReport } from '../routing/reportTrust.js'
 import type { RoutingContext } from './routingContext.js'
@@ -23,7 +23,7 @@
   /** See `Dispatcher.onAttemptResponding`. */
   onResponding (attempt: AttemptState, isServerError: boolean): 'deliver' | 'discard' {
     const { callState } = attempt
-    attempt.lastProgressAt = this.context.clock.now()
+    recordProgress(attempt, this.context.clock.now())
     if (callState.respondingAttemptId !== undefined) return callState.respondingAttemptId === attempt.attempt.id ? 'deliver' : 'discard'
     if (attempt.isDiscarded) return 'discard'
     if (isServerError && this.canWithholdError(callState, attempt)) {
@@ -157,12 +157,13 @@
     callState.lastResultCode = code
     if (isResponding) return this.engine.finish(callState, failureResult(callState, code))
     if (callState.running.length === 0) this.engine.retryOrFinish(callState, code)
+    else this.engine.recheckRunning(callState)
   }
 
-  /** Whether a server error can be withheld because another attempt is in progress or can start at once. */
+  /** Whether a server error can be withheld because another attempt makes progress or can start at once. */
   private canWithholdError (state: CallState, attempt: AttemptState): boolean {
     if (!state.call.kind.idempotent) return false
-    if (state.running.some(other => other !== attempt)) return true
+    if (state.running.some(other => other !== attempt && !other.hasStalled)) return true
     return this.engine.mayRetry(state) && this.context.retryBudget.canRetry()
   }
 }
--- a/packages/core/src/core/dispatch/attemptMonitor.ts
+++ b/packages/core/src/core/dispatch/attemptMonitor.ts
@@ -1,7 +1,8 @@
 import type { Milliseconds } from '../../types/clock.js'
 import { failureResult } from './attemptEnds.js'
 import type { AttemptControl } from './attemptControl.js'
-import type { AttemptState } from './callState.js'
+import type { AttemptState, CallState } from './callState.js'
+import { recordStall } from './cancelledAttempts.js'
 import type { RoutingContext } from './routingContext.js'
 
 // Fewer responses are too few to estimate a high quantile.
@@ -11,7 +12,7 @@
 // Delay before a hedge or replacement that lacked capacity or budget is tried again.
 const RECHECK_DELAY_MS = 2
 
-/** Monitors running attempts: hedges slow ones and replaces or ends stalled ones. */
+/** Monitors running attempts: hedges slow ones and replaces stalled ones. */
 export class AttemptMonitor {
   private constructor (private readonly context: RoutingContext, private readonly engine: AttemptControl) {}
 
@@ -19,29 +20,28 @@
     return new AttemptMonitor(context, engine)
   }
 
-  /** Schedules the first check of a started attempt. */
+  /** Schedules the next check of an attempt that has started, or after an event that changes when it is due. */
   arm (attempt: AttemptState): void {
     this.schedule(attempt, Math.min(this.hedgeAt(attempt), this.stallAt(attempt)))
   }
 
-  /** Replaces the timer once the response has begun and the streaming stall interval applies. */
-  rearm (attempt: AttemptState): void {
-    this.context.timers.cancel(attempt.timer)
-    this.arm(attempt)
-  }
-
   private schedule (attempt: AttemptState, at: Milliseconds): void {
-    if (at === Infinity) return
-    attempt.timer = this.context.timers.schedule(at, () => this.check(attempt))
+    this.context.timers.cancel(attempt.timer)
+    attempt.timer = at === Infinity ? undefined : this.context.timers.schedule(at, () => this.check(attempt))
   }
 
   private check (attempt: AttemptState): void {
     const now = this.context.clock.now()
-    if (now >= this.stallAt(attempt) && this.onStall(attempt)) return
-    if (now >= this.hedgeAt(attempt)) this.engine.startHedge(attempt.callState)
+    if (now >= this.stallAt(attempt)) this.onStall(attempt, now)
+    else if (now >= this.hedgeAt(attempt)) this.engine.startHedge(attempt.callState)
     if (attempt.callState.phase !== 'running' || !attempt.callState.running.includes(attempt)) return
-    const next = Math.min(this.hedgeAt(attempt), this.stallAt(attempt))
-    this.schedule(attempt, Math.max(next, now + RECHECK_DELAY_MS))
+    this.schedule(attempt, Math.max(this.nextCheckAt(attempt, now), now + RECHECK_DELAY_MS))
+  }
+
+  /** A stalled attempt is checked again when its replacement stalls. */
+  private nextCheckAt (attempt: AttemptState, now: Milliseconds): Milliseconds {
+    const others = this.unstalledOthers(attempt, now).map(other => this.stallAt(other))
+    return now >= this.stallAt(attempt) && others.length > 0 ? Math.max(...others) : Math.min(this.hedgeAt(attempt), this.stallAt(attempt))
   }
 
   /** Time at which a hedge is due; Infinity if the call must not be hedged. */
@@ -51,7 +51,8 @@
     const { serviceTimes, retryBudget, queue } = this.context
     const policy = this.context.policyOf(kind)
     if (!kind.idempotent || !kind.hedgeable || !replayable) return Infinity
-    if (callState.respondingAttemptId !== undefined || callState.running.length !== 1) return Infinity
+    const hasOther = callState.running.some(other => other !== attempt && !other.hasStalled)
+    if (callState.respondingAttemptId !== undefined || hasOther) return Infinity
     if (callState.attemptCount >= this.context.maxAttempts(kind)) return Infinity
     const delayMs = serviceTimes.quantileMs(kind, policy.hedgeQuantile, MIN_SAMPLES)
     if (delayMs === undefined) return Infinity
@@ -82,21 +83,32 @@
     return Math.max(policy.stallMinMs, learnedMs)
   }
 
-  /** Cancels a stalled attempt if it was responding or another one has replaced it. Returns whether it did. */
-  private onStall (attempt: AttemptState): boolean {
+  /**
+   * Ends the call of an attempt that stalled within its response. Any other one goes on beside its replacement, because that may
+   * be refused, until either is answered.
+   */
+  private onStall (attempt: AttemptState, now: Milliseconds): void {
     const { callState } = attempt
-    const { counters, retryBudget } = this.context
-    const isResponding = callState.respondingAttemptId === attempt.attempt.id
-    const hasOther = callState.running.length > 1
-    const isMovable = callState.call.kind.idempotent && !isResponding &&
-      (hasOther || (retryBudget.canRetry() && this.engine.mayRetry(callState)))
-    if (!isResponding && !isMovable) return false
-    callState.needsProvenConnection = true
-    // The stalled attempt may still get a response, so it continues until its replacement has started.
-    if (!isResponding && !hasOther && !this.engine.startReplacement(callState)) return false
-    counters.stalls += 1
+    if (callState.respondingAttemptId === attempt.attempt.id) return this.endResponse(attempt)
+    const isReplaced = this.unstalledOthers(attempt, now).length > 0 || this.replace(callState)
+    if (isReplaced) recordStall(this.context, attempt)
+    else if (now >= this.hedgeAt(attempt)) this.engine.startHedge(callState)
+  }
+
+  private endResponse (attempt: AttemptState): void {
+    recordStall(this.context, attempt)
     this.engine.cancelAttempt(attempt, 'stalled')
-    if (isResponding) this.engine.finish(callState, failureResult(callState, 'answerTruncated'))
-    return true
+    this.engine.finish(attempt.callState, failureResult(attempt.callState, 'answerTruncated'))
+  }
+
+  private unstalledOthers (attempt: AttemptState, now: Milliseconds): readonly AttemptState[] {
+    return attempt.callState.running.filter(other => other !== attempt && now < this.stallAt(other))
+  }
+
+  private replace (callState: CallState): boolean {
+    const { retryBudget } = this.context
+    if (!callState.call.kind.idempotent || !retryBudget.canRetry() || !this.engine.mayRetry(callState)) return false
+    callState.needsProvenConnection = true
+    return this.engine.startReplacement(callState)
   }
 }
--- a/packages/core/src/core/dispatch/attemptRunner.ts
+++ b/packages/core/src/core/dispatch/attemptRunner.ts
@@ -58,20 +58,25 @@
   }
 
   rearm (attempt: AttemptState): void {
-    this.monitor.rearm(attempt)
+    this.monitor.arm(attempt)
+  }
+
+  /** Checks the remaining attempts of a call anew after one of them has ended without a response. */
+  recheckRunning (state: CallState): void {
+    for (const attempt of state.running) this.monitor.arm(attempt)
   }
 
-  /** Cancels the running attempts of a call, except one. */
+  /** Cancels the running attempts of a call, except one. A stalled one that has lost to another is given as stalled. */
   cancelRunning (state: CallState, reason: CancelReason, except?: AttemptState): void {
     for (const attempt of [...state.running]) {
-      if (attempt !== except) this.cancel(attempt, reason)
+      if (attempt !== except) this.cancel(attempt, attempt.hasStalled && reason === 'lostHedge' ? 'stalled' : reason)
     }
   }
 
   cancel (attempt: AttemptState, reason: CancelReason): void {
     this.remove(attempt)
     attempt.callState.mayHaveRun = true
-    recordCancellation(this.context, attempt, reason)
+    if (!attempt.hasStalled) recordCancellation(this.context, attempt, reason)
     this.context.port.cancelAttempt(attempt.attempt.id, reason)
   }
 
@@ -131,6 +136,7 @@
       predictedWaitMs: context.serviceTimes.predictedWaitMs(target, now, target.reportTrust),
       reportedWaitMs: context.serviceTimes.predictedWaitMs(target, now, 1),
       lastProgressAt: now,
+      hasStalled: false,
       timer: undefined,
       isTrial: choice.isTrial,
       isSuspect: context.suspects.verdict(state.call.fingerprint, now) !== 'clear',
--- a/packages/core/src/core/dispatch/callEngine.ts
+++ b/packages/core/src/core/dispatch/callEngine.ts
@@ -134,6 +134,10 @@
     this.runner.cancel(attempt, reason)
   }
 
+  recheckRunning (state: CallState): void {
+    this.runner.recheckRunning(state)
+  }
+
   /** After a crash, another attempt of the call that is still in progress becomes the trial of the request. */
   onCrash (state: CallState): void {
     if (state.running.length > 0) this.waiting.parked.beginTrial(state.call.fingerprint, state.call.id)
--- a/packages/core/src/core/dispatch/callState.ts
+++ b/packages/core/src/core/dispatch/callState.ts
@@ -43,6 +43,8 @@
   /** The same prediction with full trust in the load report. */
   readonly reportedWaitMs: Milliseconds
   lastProgressAt: Milliseconds
+  /** Set once it has stalled beside another attempt, until it makes progress. */
+  hasStalled: boolean
   timer: Timer | undefined
   /** The upstream is ejected and this attempt tests whether it has recovered. */
   readonly isTrial: boolean
@@ -50,6 +52,11 @@
   isDiscarded: boolean
 }
 
+export function recordProgress (attempt: AttemptState, now: Milliseconds): void {
+  attempt.lastProgressAt = now
+  attempt.hasStalled = false
+}
+
 export function createCallState (call: Call): CallState {
   return {
     call,
--- a/packages/core/src/core/dispatch/cancelledAttempts.ts
+++ b/packages/core/src/core/dispatch/cancelledAttempts.ts
@@ -2,6 +2,15 @@
 import type { AttemptState } from './callState.js'
 import type { RoutingContext } from './routingContext.js'
 
+/** Records what the stall of an attempt tells about its upstream and its connections; the attempt may go on. */
+export function recordStall (context: RoutingContext, attempt: AttemptState): void {
+  if (attempt.hasStalled) return
+  attempt.hasStalled = true
+  context.counters.stalls += 1
+  recordCancellation(context, attempt, 'stalled')
+  context.port.onStall?.(attempt.attempt.id)
+}
+
 /** Updates an upstream's service times and health after one of its attempts was cancelled. */
 export function recordCancellation (context: RoutingContext, attempt: AttemptState, reason: CancelReason): void {
   const { serviceTimes, outliers, clock } = context
--- a/packages/core/src/core/dispatch/dispatcher.ts
+++ b/packages/core/src/core/dispatch/dispatcher.ts
@@ -6,6 +6,7 @@
 import type { LoadReport, RateNotice, ResponseSignals, Upstream } from '../../types/upstream.js'
 import { AttemptEventHandler } from './attemptEventHandler.js'
 import { CallEngine } from './callEngine.js'
+import { recordProgress } from './callState.js'
 import { RoutingContext, type DispatcherOptions } from './routingContext.js'
 import type { SuspectMark } from '../../types/suspectMark.js'
 
@@ -130,7 +131,7 @@
   /** Records that bytes of a response arrived or were accepted by the caller. */
   onAttemptProgress (attemptId: number): void {
     const attempt = this.engine.attempts.get(attemptId)
-    if (attempt !== undefined) attempt.lastProgressAt = this.context.clock.now()
+    if (attempt !== undefined) recordProgress(attempt, this.context.clock.now())
   }
 
   /** Handles the end of an attempt. Ignores attempts that were cancelled through the port. */
--- a/packages/core/src/types/dispatch.ts
+++ b/packages/core/src/types/dispatch.ts
@@ -154,6 +154,8 @@
 export interface DispatchPort {
   startAttempt (attempt: Attempt): void
   cancelAttempt (attemptId: number, reason: CancelReason): void
+  /** An attempt has stalled. It goes on, but the network may have dropped its connection and others like it. */
+  onStall? (attemptId: number): void
   /** `diagnostics` is set if the call ends without a response while its caller is still waiting. */
   finishCall (callId: number, result: CallResult, diagnostics?: ResultDiagnostics): void
   /**
--- a/packages/core/src/types/dispatcherSnapshot.ts
+++ b/packages/core/src/types/dispatcherSnapshot.ts
@@ -9,7 +9,7 @@
   readonly attempts: number
   readonly retries: number
   readonly hedges: number
-  /** Attempts cancelled because they stalled. */
+  /** Attempts that stalled and were replaced or cancelled. */
   readonly stalls: number
   readonly ejections: number
   readonly readmissions: number
--- a/packages/daemon/src/core/upstreams/serviceForwarder.ts
+++ b/packages/daemon/src/core/upstreams/serviceForwarder.ts
@@ -209,10 +209,14 @@
     this.counters.countCancel(reason)
     const call = this.calls.get(tracked.attempt.callId)
     if (call !== undefined) this.options.observer?.onCancel(call, tracked.attempt, reason, this.clock.now() - tracked.startedAt)
-    if (reason === 'stalled') tracked.connections.closeUnproven(tracked.startedAt)
     tracked.attempt.cancel()
   }
 
+  onStall (attemptId: number): void {
+    const tracked = this.attempts.get(attemptId)
+    tracked?.connections.closeUnproven(tracked.startedAt)
+  }
+
   finishCall (callId: number, result: CallResult, diagnostics?: ResultDiagnostics): void {
     this.counters.countResult(result)
     const call = this.calls.get(callId)
