--- a/packages/daemon/src/core/upstreams/serviceAttempts.ts
+++ b/packages/daemon/src/core/upstreams/serviceAttempts.ts
@@ -93,10 +93,15 @@
     this.options.counters.countCancel(reason)
     const call = this.options.callOf(tracked.attempt.callId)
     if (call !== undefined) this.options.observer?.onCancel(call, tracked.attempt, reason, this.options.clock.now() - tracked.startedAt)
-    if (reason === 'stalled') tracked.connections.closeUnproven(tracked.startedAt)
     tracked.attempt.cancel()
   }
 
+  /** Closes the idle connections that may be in the same state as that of a stalled attempt. */
+  closeUnproven (attemptId: number): void {
+    const tracked = this.attempts.get(attemptId)
+    tracked?.connections.closeUnproven(tracked.startedAt)
+  }
+
   /** Reports progress for attempts that wait for a slow caller, so that they are not treated as stalled. */
   reportProgressOfWaiting (): void {
     for (const attempt of this.paused) this.onProgress(attempt)
--- a/packages/daemon/src/core/upstreams/serviceForwarder.ts
+++ b/packages/daemon/src/core/upstreams/serviceForwarder.ts
@@ -194,6 +194,10 @@
     this.attempts.cancel(attemptId, reason)
   }
 
+  onStall (attemptId: number): void {
+    this.attempts.closeUnproven(attemptId)
+  }
+
   /** Reports progress for attempts that wait for a slow caller, so that they are not treated as stalled. */
   reportProgressOfWaiting (): void {
     this.attempts.reportProgressOfWaiting()
