Use new connections for unrepeatable requests to upstreams that send stray bytes

A second copy that is cut inside its body swallows the beginning of the next response on the connection. Callers got 502 or 504 for requests that had run, and where such a request may not be repeated, that is its end. Nothing precedes the response on a new connection, so such requests get one for half a minute after an upstream has sent stray bytes. Connections to other upstreams stay as they are.

cutCopies.test.ts: before, every second one of eight requests gets 502; now the first one.

--- a/packages/daemon/src/core/upstreams/connectionPool.ts
+++ b/packages/daemon/src/core/upstreams/connectionPool.ts
@@ -1,5 +1,5 @@
 import type { Clock, Milliseconds } from '@cowsliplead/core/types/clock.js'
-import type { ConnectionObserver } from './connectionObserver.js'
+import type { BytesRefusal, ConnectionObserver } from './connectionObserver.js'
 import { HttpConnection } from './httpConnection.js'
 
 /** Idle timeout assumed if the upstream does not announce one. */
@@ -8,6 +8,9 @@
 /** Share of the idle timeout for which a connection is reused; after that, the upstream may close it at any moment. */
 const REUSABLE_IDLE_SHARE = 0.6
 
+/** Time for which an upstream that has sent stray bytes is expected to send more. */
+const STRAY_MEMORY_MS: Milliseconds = 30_000
+
 /** A pooled connection to an upstream. */
 export interface Connection {
   readonly http: HttpConnection
@@ -30,6 +33,8 @@
   readonly proven: boolean
   /** Connections that carried earlier attempts of the same request: a late copy of such a response has the expected id. */
   readonly excluded?: ReadonlySet<Connection>
+  /** It must not be sent again. A cut copy of an earlier response may swallow its response, and none precedes it on a new connection. */
+  readonly isUnrepeatable?: boolean
 }
 
 /** Options of a connection pool. */
@@ -47,11 +52,12 @@
 }
 
 /** Pool of this VM's connections to one upstream. Each carries one request at a time. */
-export class ConnectionPool {
+export class ConnectionPool implements ConnectionObserver {
   /** Most recently used last and reused first, so that busy connections stay proven and surplus ones expire. */
   private readonly idle: Connection[] = []
   private readonly busy = new Set<Connection>()
   private opened = 0
+  private lastStrayAt: Milliseconds = -Infinity
 
   private constructor (private readonly options: ConnectionPoolOptions, private limit: number, private provenMs: Milliseconds) {}
 
@@ -109,6 +115,16 @@
     for (const connection of this.idle.splice(0)) this.destroy(connection)
   }
 
+  onStrayResponse (): void {
+    this.lastStrayAt = this.options.clock.now()
+    this.options.observer?.onStrayResponse()
+  }
+
+  onBytesRefused (reason: BytesRefusal): void {
+    this.lastStrayAt = this.options.clock.now()
+    this.options.observer?.onBytesRefused(reason)
+  }
+
   private closeExpired (): void {
     const now = this.options.clock.now()
     this.closeIdleIf(({ idleSince, idleTimeoutMs }) => now - idleSince > (idleTimeoutMs ?? DEFAULT_IDLE_TIMEOUT_MS) * REUSABLE_IDLE_SHARE)
@@ -123,11 +139,14 @@
     }
   }
 
-  private takeIdle ({ proven, excluded }: ConnectionNeeds): Connection | undefined {
-    const oldest = proven ? this.options.clock.now() - this.provenMs : -Infinity
+  private takeIdle ({ proven, excluded, isUnrepeatable = false }: ConnectionNeeds): Connection | undefined {
+    const now = this.options.clock.now()
+    const oldest = proven ? now - this.provenMs : -Infinity
+    const mustBeUnused = isUnrepeatable && now - this.lastStrayAt < STRAY_MEMORY_MS
     for (let i = this.idle.length - 1; i >= 0; i--) {
       const connection = this.idle[i] as Connection
       if (connection.lastResponseAt < oldest || excluded?.has(connection) === true) continue
+      if (mustBeUnused && connection.http.completedResponses > 0) continue
       this.idle.splice(i, 1)
       return connection
     }
@@ -138,8 +157,8 @@
 
   private open (): Connection | undefined {
     if (this.size >= this.limit) return undefined
-    const { host, port, connectTimeoutMs, clock, onError, observer } = this.options
-    const http = HttpConnection.create({ host, port, connectTimeoutMs, onError, observer, onClose: () => this.removeIdle(connection) })
+    const { host, port, connectTimeoutMs, clock, onError } = this.options
+    const http = HttpConnection.create({ host, port, connectTimeoutMs, onError, observer: this, onClose: () => this.removeIdle(connection) })
     const now = clock.now()
     const number = ++this.opened
     const connection: Connection = { http, number, openedAt: now, lastResponseAt: 0, idleSince: now, idleTimeoutMs: undefined, hadResponseWithoutId: false }
--- a/packages/daemon/src/core/upstreams/serviceAttempts.ts
+++ b/packages/daemon/src/core/upstreams/serviceAttempts.ts
@@ -68,7 +68,7 @@
     const { clock, dialect, callOf } = this.options
     const call = callOf(attempt.callId)
     const connections = this.options.connections.poolFor(attempt.upstreamId)
-    const connection = call && connections?.acquire({ proven: attempt.provenConnection, excluded: call.usedConnections })
+    const connection = call && connections?.acquire({ proven: attempt.provenConnection, excluded: call.usedConnections, isUnrepeatable: !call.call.kind.idempotent })
     this.options.counters.countAttempt(attempt.purpose)
     if (call === undefined || connections === undefined || connection === undefined) {
       return this.endUnstarted(attempt.id)
