Refuse a status line within a trailer

A second copy that is cut inside a trailer had the head of the next response read as further trailers. Its caller waited in vain and got 504. The check for a status line within a line, which heads have had since, now applies to each line that is read as a header, in a head or a trailer, so the exchange ends at once.

responseParser.test.ts, 'refuses a status line within a trailer', fails before. The other new tests there cut a copy of each form at every byte before the next response: no head may be reported that was not written.

--- a/packages/daemon/src/core/upstreams/responseValidation.ts
+++ b/packages/daemon/src/core/upstreams/responseValidation.ts
@@ -65,10 +65,9 @@
     for (let i = 0; i + 1 < headers.length; i += 2) {
       validateHeaderName(headers[i] as string)
       validateHeaderValue(headers[i] as string, headers[i + 1] as string)
-      if (STATUS_LINE_WITHIN.test(headers[i + 1] as string)) throw InvalidResponse.create('statusLineWithin', 'a status line within a header')
     }
   } catch (error) {
-    throw error instanceof InvalidResponse ? error : InvalidResponse.create('header', 'invalid header', { cause: error })
+    throw InvalidResponse.create('header', 'invalid header', { cause: error })
   }
 }
 
@@ -90,6 +89,7 @@
   parser.parseHeader = (line, headers) => {
     const isContinuation = headers.length > 0 && CONTINUATION_LINE.test(line)
     if (!HEADER_LINE.test(line) && !isContinuation) throw InvalidResponse.create('headerLine', 'invalid header line')
+    if (STATUS_LINE_WITHIN.test(line)) throw InvalidResponse.create('statusLineWithin', 'a status line within a header or trailer')
     parseHeader.call(parser, line, headers)
   }
 }
