Limit the answer of another VM to a request for tokens while it arrives

Callers saw: nothing yet; a faulty VM could fill the memory of each VM that asks it for tokens.

Cause: the limit of 64 KB was checked once the whole answer had been read; until then only the time limit of the exchange (0.3 s) ended it, on four connections.

Evidence: endlessPeers.test.ts.

Fix: the client library's limit on a body; the holder counts as unreachable at once.

--- /dev/null
+++ b/packages/daemon/__tests__/endlessPeers.test.ts
@@ -0,0 +1,39 @@
+import { expect } from 'chai'
+import type { LeaseResult } from '@cowsliplead/core/types/quota.js'
+import { LeaseClient } from '../src/core/quotas/leaseClient.js'
+import { sleep } from '../src/utils/sleep.js'
+import { EndlessWriter } from './endlessWriter.js'
+import { throwError } from './harness.js'
+
+const PART = Buffer.alloc(64 * 1024, ' ')
+
+/** More than the largest answer and what the two sockets hold. */
+const MAX_TAKEN_BYTES = 16 * 1024 * 1024
+
+/** Longer than the time limit of an exchange. */
+const EXCHANGE_MS = 500
+
+const LEASE_HEADS: ReadonlyArray<readonly [string, string]> = [
+  ['chunks', 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n7fffffff\r\n'],
+  ['a length', 'HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n'],
+  ['no length', 'HTTP/1.1 200 OK\r\n\r\n'],
+  ['an error', 'HTTP/1.1 500 Failed\r\n\r\n'],
+  ['an endless head', 'HTTP/1.1 200 OK\r\nX-Long: a']
+]
+
+describe('a VM that never ends its answer', () => {
+  for (const [form, start] of LEASE_HEADS) {
+    // Guards against a faulty VM that fills the memory of those that ask it for tokens.
+    it(`to a request for tokens, with ${form}, is not kept`, async () => {
+      const peer = await EndlessWriter.start({ start, part: PART })
+      const client = LeaseClient.create({ vmId: 'vm0', grantLocally: () => ({ kind: 'notHolder' }), onError: throwError })
+      const holder = { vmId: 'vm1', feedAddress: '', peerAddress: peer.address, failureDomain: 'a' }
+      const result = await new Promise<LeaseResult>(resolve => client.requestLease(holder, { customer: 'c', vmId: 'vm0', tokens: 1 }, resolve))
+      expect(result).to.deep.equal({ kind: 'unreachable' })
+      await sleep(EXCHANGE_MS)
+      expect(peer.taken).to.be.below(MAX_TAKEN_BYTES)
+      client.close()
+      peer.close()
+    })
+  }
+})
--- a/packages/daemon/src/core/quotas/leaseClient.ts
+++ b/packages/daemon/src/core/quotas/leaseClient.ts
@@ -31,7 +31,10 @@
 
 /** Asks holders for tokens. The requests for several customers that come up at the same time are sent in one message. */
 export class LeaseClient implements LeasePort {
-  private readonly agent = new Agent({ connections: CONNECTIONS, pipelining: 1, connect: { timeout: EXCHANGE_TIMEOUT_MS } })
+  private readonly agent = new Agent({
+    connections: CONNECTIONS, pipelining: 1, connect: { timeout: EXCHANGE_TIMEOUT_MS }, maxResponseSize: MAX_MESSAGE_BYTES
+  })
+
   private readonly pendingByAddress = new Map<string, PendingLease[]>()
 
   private constructor (private readonly options: LeaseClientOptions) {}
@@ -79,7 +82,7 @@
       signal: AbortSignal.timeout(EXCHANGE_TIMEOUT_MS)
     })
     const text = await body.text()
-    if (statusCode !== 200 || text.length > MAX_MESSAGE_BYTES) return undefined
+    if (statusCode !== 200) return undefined
     const answers = LEASE_ANSWERS.safeParse(parseJson(text)).data?.answers
     return answers?.length === batch.length ? answers : undefined
   }
