Give up a response of another VM that is held and goes on too long

Callers saw: nothing yet; a faulty VM could fill the memory of one that hands requests over to it.

Cause: a response without a length is held until it is complete, on the assumption that the other VM has buffered it and so that it is short. Nothing checked that; only the caller's deadline, 30 s without one, ended it.

Evidence: transfer.test.ts. On the code before, the response was held until the deadline (504 after 1 s in the test).

Fix: past the size up to which a VM buffers a response, the exchange is cancelled and ends like one that has broken off: outcome unknown (502), and the VM is avoided.

--- a/packages/daemon/__tests__/transfer.test.ts
+++ b/packages/daemon/__tests__/transfer.test.ts
@@ -14,6 +14,12 @@
 
 const LARGE_BODY = Buffer.alloc(600_000, 'x')
 
+/** More than what is held of a response and what two sockets hold. */
+const MAX_TAKEN_BYTES = 16 * 1024 * 1024
+
+/** Where a receiver that is not given up stops. */
+const STOP_BYTES = 96 * 1024 * 1024
+
 async function listen (listener: RequestListener): Promise<Server> {
   const server = createServer(listener)
   await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
@@ -121,6 +127,24 @@
     expect(ends).to.deep.equal(['unknown'])
   })
 
+  // Guards against a faulty VM that fills the memory of another one with a response that is held until it is complete.
+  for (const method of ['GET', 'POST']) {
+    it(`gives up a response without a length that goes on too long, to a ${method}`, async () => {
+      let taken = 0
+      const port = await start((_request, response) => {
+        response.writeHead(200, { 'transfer-encoding': 'chunked', 'x-cowsliplead-peer-unframed': '1' })
+        const writeMore = (): void => {
+          while (!response.destroyed && taken < STOP_BYTES && response.write(LARGE_BODY, () => void (taken += LARGE_BODY.length)));
+        }
+        response.on('drain', writeMore)
+        writeMore()
+      })
+      expect((await call(port, method, '/permits/1')).status).to.equal(502)
+      expect(taken).to.be.below(MAX_TAKEN_BYTES)
+      expect(ends).to.deep.equal(['unknown'])
+    })
+  }
+
   // Guards against long bodies that are held in memory or cut off.
   it('streams long bodies in both directions', async () => {
     const port = await start((request, response) => void request.pipe(response))
--- a/packages/daemon/src/core/handover/callerRelay.ts
+++ b/packages/daemon/src/core/handover/callerRelay.ts
@@ -1,7 +1,9 @@
 import type { ServerResponse } from 'node:http'
 import type { ResponseHead } from '../../types/responseSink.js'
+import { BodyBuffer } from '../../utils/bodyBuffer.js'
 import { abortResponse } from '../../utils/abortResponse.js'
 import { responseHeaders } from '../../utils/headers.js'
+import { MAX_BUFFERED_RESPONSE_BYTES } from '../upstreams/activeAttempt.js'
 
 const NO_HEADERS: ReadonlySet<string> = new Set()
 
@@ -10,7 +12,7 @@
  * caller could not tell a part of its body from the whole. The other VM has buffered such a response, so it is short.
  */
 export class CallerRelay {
-  private held: { readonly head: ResponseHead, readonly chunks: Buffer[] } | undefined
+  private held: { readonly head: ResponseHead, readonly body: BodyBuffer } | undefined
 
   private constructor (private readonly response: ServerResponse, private readonly closesConnection: () => boolean) {}
 
@@ -25,20 +27,25 @@
 
   start (head: ResponseHead): void {
     if (head.isFramed) this.writeHead(head)
-    else this.held = { head, chunks: [] }
+    else this.held = { head, body: BodyBuffer.create() }
+  }
+
+  /** Returns false for a chunk with which a held response would be longer than the other VM may have buffered. */
+  takes (chunk: Buffer): boolean {
+    return this.held === undefined || this.held.body.length + chunk.length <= MAX_BUFFERED_RESPONSE_BYTES
   }
 
   /** Returns false to request a pause until the response drains. */
   write (chunk: Buffer): boolean {
     if (this.held === undefined) return this.response.write(chunk)
-    this.held.chunks.push(chunk)
+    this.held.body.append(chunk)
     return true
   }
 
   end (): void {
     if (this.held === undefined) return void this.response.end()
     this.writeHead(this.held.head)
-    this.response.end(Buffer.concat(this.held.chunks))
+    this.response.end(this.held.body.take()[0])
   }
 
   /** Closes the connection, so that what was sent does not look complete. */
--- a/packages/daemon/src/core/handover/transfer.ts
+++ b/packages/daemon/src/core/handover/transfer.ts
@@ -84,7 +84,10 @@
   }
 
   onData (chunk: Buffer): boolean {
-    return this.relay.write(chunk)
+    if (this.relay.takes(chunk)) return this.relay.write(chunk)
+    this.exchange?.cancel()
+    this.onBroken()
+    return true
   }
 
   onComplete (): void {
