--- a/packages/daemon/src/core/handover/callerRelay.ts
+++ b/packages/daemon/src/core/handover/callerRelay.ts
@@ -1,16 +1,17 @@
 import type { ServerResponse } from 'node:http'
 import type { ResponseHead } from '../../types/responseSink.js'
+import { BodyBuffer } from '../../utils/bodyBuffer.js'
 import { abortResponse } from '../../utils/abortResponse.js'
 import { findHeader, responseHeaders } from '../../utils/headers.js'
 import type { CallerSink } from '../callers/callerSink.js'
+import { MAX_BUFFERED_RESPONSE_BYTES } from '../upstreams/activeAttempt.js'
 
 const NO_HEADERS: ReadonlySet<string> = new Set()
 
 /** A response that is not sent before it is complete. */
 interface HeldResponse {
   readonly head: ResponseHead
-  readonly chunks: Buffer[]
-  bytes: number
+  readonly body: BodyBuffer
 }
 
 /**
@@ -34,20 +35,25 @@
 
   start (head: ResponseHead): void {
     const length = Number(findHeader(head.rawHeaders, 'content-length') ?? 1)
-    if (!head.isFramed || this.sink.tryHold(length)) this.held = { head, chunks: [], bytes: 0 }
+    if (!head.isFramed || this.sink.tryHold(length)) this.held = { head, body: BodyBuffer.create() }
     else this.startStream(head)
   }
 
+  /** Returns false for a chunk with which a response without a length would be longer than the other VM may have buffered. */
+  takes (chunk: Buffer): boolean {
+    if (this.held === undefined || this.held.head.isFramed) return true
+    return this.held.body.length + chunk.length <= MAX_BUFFERED_RESPONSE_BYTES
+  }
+
   /** Returns false to request a pause until the response drains. */
   write (chunk: Buffer): boolean {
     const { held } = this
     if (held === undefined) return this.response.write(chunk)
-    held.chunks.push(chunk)
-    held.bytes += chunk.length
-    if (!held.head.isFramed || this.sink.tryHold(held.bytes)) return true
+    held.body.append(chunk)
+    if (!held.head.isFramed || this.sink.tryHold(held.body.length)) return true
     this.held = undefined
     this.startStream(held.head)
-    return this.response.write(Buffer.concat(held.chunks))
+    return this.response.write(Buffer.concat(held.body.take()))
   }
 
   end (): void {
@@ -68,11 +74,11 @@
     this.writeHead(head, [])
   }
 
-  private sendHeld ({ head, chunks, bytes }: HeldResponse): void {
+  private sendHeld ({ head, body }: HeldResponse): void {
     // Only the close of the connection would end the body, and take the responses behind it along.
-    if (!head.isFramed && this.sink.exchange.isShared) this.writeHead({ ...head, isFramed: true }, ['content-length', String(bytes)])
+    if (!head.isFramed && this.sink.exchange.isShared) this.writeHead({ ...head, isFramed: true }, ['content-length', String(body.length)])
     else this.writeHead(head, [])
-    this.response.end(Buffer.concat(chunks))
+    this.response.end(Buffer.concat(body.take()))
   }
 
   private writeHead ({ status, rawHeaders, isFramed }: ResponseHead, added: readonly string[]): void {
