End a response at its route's timeout if its upstream falls silent

CallEngine.onDeadline left a call alone whose response had begun. It now ends at the time limit of its kind, visibly broken off: at once if nothing has arrived for 200 ms, and 200 ms later if bytes still arrive. A shorter deadline of the caller ends no response that has begun.

--- a/packages/core/src/core/dispatch/callEngine.ts
+++ b/packages/core/src/core/dispatch/callEngine.ts
@@ -6,6 +6,7 @@
 import { failureResult } from './attemptEnds.js'
 import type { AttemptControl } from './attemptControl.js'
 import { AttemptRunner } from './attemptRunner.js'
+import { latestResponseEndAt } from './responseLimit.js'
 import { createCallState, type AttemptState, type CallState } from './callState.js'
 import { countResult } from './dispatchCounters.js'
 import { collectResultDiagnostics } from './resultDiagnostics.js'
@@ -55,7 +56,7 @@
     context.serviceTimes.onCall(call.kind)
     context.reservation.onCall(call.kind, context.clock.now())
     this.calls.set(call.id, state)
-    state.deadlineTimer = context.timers.schedule(call.deadlineAt, () => this.onDeadline(state))
+    this.setDeadline(state, call.deadlineAt)
     this.admit(state)
     this.startWaitingCalls()
   }
@@ -194,8 +195,14 @@
     }
   }
 
+  private setDeadline (state: CallState, at: Milliseconds): void {
+    state.deadlineTimer = this.context.timers.schedule(at, () => this.onDeadline(state))
+  }
+
   private onDeadline (state: CallState): void {
-    if (state.respondingAttemptId !== undefined) return
+    const now = this.context.clock.now()
+    const endsAt = latestResponseEndAt(state, now)
+    if (endsAt > now) return this.setDeadline(state, endsAt)
     const sent = state.running.length > 0
     this.cancelRunning(state, 'deadline')
     this.finish(state, failureResult(state, sent ? 'deadlineExceeded' : state.lastResultCode ?? 'deadlinePassed'))
