Break off a handed-over response whose VM falls silent

A request was handed to another VM, which began its response and then fell silent (frozen, or cut off): the caller was held until it left, because the transfer stopped its timer with the head of the response.

The transfer now breaks a response off that has not ended 250 ms after the deadline of the call; the receiver itself ends it within 200 ms after its limit. A caller that names no deadline gets as long as the receiver allows.

transfer.test.ts, 'breaks off a response that has not ended shortly after the deadline': no end within 10 s on the code before.

--- a/packages/daemon/__tests__/transfer.test.ts
+++ b/packages/daemon/__tests__/transfer.test.ts
@@ -125,6 +125,19 @@
   })
 
   // Guards against long bodies that are held in memory or cut off.
+  // Guards against a caller that is held for ever by a VM that falls silent in the middle of a response.
+  it('breaks off a response that has not ended shortly after the deadline', async () => {
+    const port = await start((_request, response) => {
+      response.writeHead(200, { 'content-length': LARGE_BODY.length })
+      response.write(LARGE_BODY.subarray(1000))
+    })
+    const startedAt = performance.now()
+    const error = await call(port, 'GET', '/permits/1').catch((error: Error) => error)
+    expect(error).to.be.instanceOf(Error).with.property('message', 'aborted')
+    expect(performance.now() - startedAt).to.be.within(1000, 1500)
+    expect(ends).to.deep.equal(['broken'])
+  })
+
   // Guards against responses that are lost with the connection because one before them broke off between the VMs.
   it('sends an error for a response that breaks off before others of its connection', async () => {
     const caller = PipeliningCaller.connect(await start((request, response) => {
--- a/packages/daemon/src/core/handover/transfer.ts
+++ b/packages/daemon/src/core/handover/transfer.ts
@@ -17,6 +17,9 @@
 /** The receiver answers at the deadline itself; this covers the way of its answer. */
 const ANSWER_TRANSIT_MS: Milliseconds = 50
 
+/** The receiver ends a response in progress by then; if it does not, it is frozen or cannot be reached. */
+const RESPONSE_END_MS: Milliseconds = 250
+
 /**
  * Errors after which another VM may take the call, and how the one that gave it is avoided. All of them state that the
  * call has not run. Other errors, such as an unknown key, would be the same at every VM.
@@ -80,7 +83,7 @@
   onHead (head: ResponseHead): void {
     this.status = head.status
     this.relay.start(head)
-    if (!this.relay.isUnsent) clearTimeout(this.timer)
+    if (!this.relay.isUnsent) this.limitStream()
   }
 
   onData (chunk: Buffer): boolean {
@@ -107,7 +110,21 @@
 
   onBroken (): void {
     this.avoidReceiver('unreached')
-    if (this.relay.isUnsent) return this.finishUnknown('upstreamFailed')
+    if (this.relay.isUnsent) this.finishUnknown('upstreamFailed')
+    else this.breakOff()
+  }
+
+  /** A caller that does not say how long it waits gets as much as the receiver allows. */
+  private limitStream (): void {
+    clearTimeout(this.timer)
+    const { deadlineAt } = this.call
+    if (!Number.isFinite(deadlineAt)) return
+    this.timer = setTimeout(() => this.breakOff(), Math.max(deadlineAt + RESPONSE_END_MS - this.options.clock.now(), 0))
+  }
+
+  /** The receiver is not avoided for it, because it may have been the caller that did not read. */
+  private breakOff (): void {
+    this.exchange?.cancel()
     this.relay.abort()
     this.end('broken')
   }
@@ -151,6 +168,7 @@
 
   private onTimeout (): void {
     if (this.hasEnded) return
+    if (!this.relay.isUnsent) return this.limitStream()
     const mayHaveRun = this.exchange?.mayHaveRun === true
     this.exchange?.cancel()
     this.avoidReceiver('unreached')
