--- a/packages/standin/src/core/processGroup.ts
+++ b/packages/standin/src/core/processGroup.ts
@@ -16,6 +16,9 @@
   readonly signal: NodeJS.Signals | null
 }
 
+/** Receives output of the process with this name. */
+export type OutputListener = (name: string, chunk: Buffer) => void
+
 interface Member {
   readonly child: ChildProcess
   readonly exited: Promise<ProcessExit>
@@ -31,17 +34,21 @@
 export class ProcessGroup {
   private readonly members = new Map<string, Member>()
 
-  private constructor () {}
+  private constructor (private readonly onOutput: OutputListener) {}
 
-  static create (): ProcessGroup {
-    return new ProcessGroup()
+  /** `onOutput` receives all output of the processes. */
+  static create (onOutput: OutputListener = () => {}): ProcessGroup {
+    return new ProcessGroup(onOutput)
   }
 
   /** Starts a process. Its output is not printed; `outputTail` returns the end of it. */
   start (spec: ProcessSpec): void {
     const child = spawn(process.execPath, [spec.script, ...spec.args], { stdio: ['ignore', 'pipe', 'pipe'] })
     const tail: string[] = []
-    const onOutput = (chunk: Buffer) => appendToTail(tail, chunk)
+    const onOutput = (chunk: Buffer) => {
+      appendToTail(tail, chunk)
+      this.onOutput(spec.name, chunk)
+    }
     child.stdout?.on('data', onOutput)
     child.stderr?.on('data', onOutput)
     const exited = once(child, 'exit').then(([code, signal]) => ({ code, signal }) as ProcessExit)
