--- a/packages/daemon/src/core/callers/proxy.ts
+++ b/packages/daemon/src/core/callers/proxy.ts
@@ -1,4 +1,3 @@
-import { hash } from 'node:crypto'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import type { Clock, Milliseconds } from '@cowsliplead/core/types/clock.js'
@@ -9,17 +8,17 @@
 import type { ResultCodeName } from '@cowsliplead/core/types/resultCode.js'
 import type { Dialect } from '../../types/dialect.js'
 import type { ResponseSink } from '../../types/responseSink.js'
-import { IDEMPOTENCY_KEY_HEADER, requestHeaders } from '../../utils/headers.js'
+import { requestHeaders } from '../../utils/headers.js'
 import { CallerSink } from './callerSink.js'
 import { ActiveCall } from './activeCall.js'
-import { PipelineCounter } from './pipelineCounter.js'
+import { fingerprintOf } from './fingerprint.js'
+import type { PipelinedExchange } from './pipelinedExchange.js'
+import { Pipelines } from './pipelines.js'
 import { readBody, type RequestBody } from './requestBody.js'
 import type { RequestIds } from './requestIds.js'
 import type { StopPlan } from '../gateway/stopPlan.js'
 import type { ServiceForwarder } from '../upstreams/serviceForwarder.js'
 
-const MAX_FINGERPRINT_LENGTH = 200
-
 /** After this time, a caller that a stopping VM has refused may send its request to another one. */
 const STOPPING_RETRY_MS: Milliseconds = 20
 
@@ -92,12 +91,12 @@
 export class Proxy {
   /** Number of requests whose response has not been fully sent. */
   inFlight = 0
-  private readonly pipelines: PipelineCounter
+  private readonly pipelines: Pipelines
   private readonly unforwardedHeaders: ReadonlySet<string>
 
   private constructor (private readonly options: ProxyOptions) {
-    const { clock, dialect } = options
-    this.pipelines = PipelineCounter.create(clock)
+    const { clock, dialect, onError } = options
+    this.pipelines = Pipelines.create(clock, onError)
     this.unforwardedHeaders = new Set([...dialect.strippedRequestHeaders, ...dialect.credentialHeaders])
   }
 
@@ -112,20 +111,24 @@
 
   /** Handles one request of a caller; `elapsedMs` is the time since it arrived at the VM that has handed it over. */
   handle (request: IncomingMessage, response: ServerResponse, elapsedMs?: Milliseconds): void {
-    const { clock, dialect, ids, handover } = this.options
+    const { clock, dialect, ids } = this.options
     const arrivedAt = clock.now() - (elapsedMs ?? 0)
     this.inFlight++
-    this.pipelines.enter(request.socket)
+    const exchange = this.pipelines.enter(response)
     response.once('close', () => {
       this.inFlight--
-      this.pipelines.leave(request.socket)
     })
     const callerId = dialect.callerRequestId(request.headers)
     const requestId = dialect.forwardsCallerIds && callerId !== undefined ? callerId : ids.next(callerId)
     const isHandedOver = elapsedMs !== undefined
-    const sink = this.createSink(request, response, callerId ?? requestId, isHandedOver)
+    const sink = this.createSink(response, exchange, callerId ?? requestId, isHandedOver)
     const arrived = { request, response, sink, requestId, arrivedAt, isHandedOver }
-    if (!isHandedOver && handover?.tryHandOver(arrived, body => this.serve(arrived, body)) === true) return
+    exchange.whenSafe(() => this.begin(arrived))
+  }
+
+  private begin (arrived: ArrivedRequest): void {
+    const { handover } = this.options
+    if (!arrived.isHandedOver && handover?.tryHandOver(arrived, body => this.serve(arrived, body)) === true) return
     this.serve(arrived)
   }
 
@@ -177,11 +180,11 @@
     })
   }
 
-  private createSink (request: IncomingMessage, response: ServerResponse, requestId: string, isForPeer: boolean): CallerSink {
+  private createSink (response: ServerResponse, exchange: PipelinedExchange, requestId: string, isForPeer: boolean): CallerSink {
     const { dialect, stopPlan } = this.options
     // Closing after an earlier response would drop the requests that the caller has pipelined behind it.
-    const closesConnection = (): boolean => stopPlan() !== undefined && this.pipelines.isLast(request.socket)
-    return CallerSink.create(response, { requestId, dialect, closesConnection, isForPeer })
+    const closesConnection = (): boolean => stopPlan() !== undefined && !exchange.isShared
+    return CallerSink.create(response, { requestId, dialect, closesConnection, exchange, isForPeer })
   }
 
   /** An exception in one call must not end the process and with it all other calls. */
@@ -240,15 +243,3 @@
     }
   }
 }
-
-function fingerprintOf (request: IncomingMessage, body: RequestBody): string {
-  const key = request.headers[IDEMPOTENCY_KEY_HEADER]
-  const identity = `${request.method} ${request.url}`
-  if (typeof key === 'string') return shorten(`${identity} ${key}`)
-  return shorten(Buffer.isBuffer(body) && body.length > 0 ? `${identity} ${hash('sha1', body, 'base64')}` : identity)
-}
-
-/** Limits the size of a suspect mark of the request in memory and in the store. */
-function shorten (fingerprint: string): string {
-  return fingerprint.length <= MAX_FINGERPRINT_LENGTH ? fingerprint : hash('sha256', fingerprint, 'base64')
-}
