Close the connection of a caller whose streamed body exceeds the limit

Callers saw: nothing; a caller that sends a body in chunks without end was read for as long as it sent, also after its request had been answered or refused. It kept a connection, and processor time at the rate at which it sends.

Cause: the limit of the configuration was checked against the announced length and against the part that is buffered (256 KB), not against what is streamed or, after an early answer, read and dropped.

Fix: a streamed body counts what arrives, also what is dropped. Past the limit a log line names the request (outcome bodyTooLarge) and the connection is closed: its attempt may have run, so no answer could promise anything.

--- a/packages/daemon/__tests__/transfer.test.ts
+++ b/packages/daemon/__tests__/transfer.test.ts
@@ -59,7 +59,8 @@
         maxBytes: Infinity,
         onBody: body => sender.send({ request, response, sink, requestId: 'id', arrivedAt, deadlineAt: arrivedAt + 1000, body }, refusal => sink.sendError('noUpstream', refusal)),
         onTimeout: () => {},
-        onTooLarge: () => {}
+        onTooLarge: () => {},
+        onExceeded: () => {}
       })
     })
     servers.push(front)
--- a/packages/daemon/src/core/callers/proxy.ts
+++ b/packages/daemon/src/core/callers/proxy.ts
@@ -73,7 +73,7 @@
   readonly maxBodyBytes?: () => number
   /** Set while the daemon is stopping: callers must then use a new connection for their next request. */
   readonly stopPlan: () => StopPlan | undefined
-  /** Called when a request that has a service is refused without being submitted to it. */
+  /** Called when a request that has a service is refused without being submitted to it, or cut off because of its body. */
   readonly onRefused: (requestId: string, code: ResultCodeName) => void
   readonly onError: (error: Error) => void
   /** Undefined where requests are not handed over. */
@@ -173,7 +173,8 @@
       maxBytes: this.options.maxBodyBytes?.() ?? Infinity,
       onBody: body => this.trySubmit(routed, body),
       onTimeout: () => sink.sendError('bodyTimeout', ''),
-      onTooLarge: () => sink.sendError('bodyTooLarge', '')
+      onTooLarge: () => sink.sendError('bodyTooLarge', ''),
+      onExceeded: () => this.options.onRefused(routed.requestId, 'bodyTooLarge')
     })
   }
 
--- a/packages/daemon/src/core/callers/requestBody.ts
+++ b/packages/daemon/src/core/callers/requestBody.ts
@@ -22,6 +22,8 @@
   /** A body that was to be buffered did not arrive in time. */
   onTimeout (): void
   onTooLarge (): void
+  /** A body that is being streamed exceeds the limit; its connection is closed. */
+  onExceeded (): void
 }
 
 /** Buffers a short body, or turns a long one into a stream. No callback is called if the caller disconnects first. */
@@ -29,7 +31,7 @@
   if (!hasBody(request)) return options.onBody(null)
   const length = request.headers['content-length']
   if (length !== undefined && Number(length) > options.maxBytes) return options.onTooLarge()
-  if (length !== undefined && Number(length) > MAX_BUFFERED_REQUEST_BYTES) return options.onBody(UploadStream.create(request, { start: [], timeoutMs: options.timeoutMs }))
+  if (length !== undefined && Number(length) > MAX_BUFFERED_REQUEST_BYTES) return options.onBody(UploadStream.create(request, { ...options, start: [] }))
   bufferBody(request, options)
 }
 
@@ -48,7 +50,7 @@
     }
     if (size <= MAX_BUFFERED_REQUEST_BYTES) return body.append(chunk)
     stop()
-    options.onBody(UploadStream.create(request, { start: [...body.take(), chunk], timeoutMs: options.timeoutMs }))
+    options.onBody(UploadStream.create(request, { ...options, start: [...body.take(), chunk] }))
   }
   const onEnd = (): void => {
     stop()
--- a/packages/daemon/src/core/callers/uploadStream.ts
+++ b/packages/daemon/src/core/callers/uploadStream.ts
@@ -12,6 +12,10 @@
   readonly start: readonly Buffer[]
   /** Longest pause of the caller. */
   readonly timeoutMs: Milliseconds
+  /** Size limit of the body, also of the part that is dropped; a caller that goes on beyond it loses its connection. */
+  readonly maxBytes: number
+  /** The limit was exceeded. */
+  readonly onExceeded: () => void
 }
 
 /**
@@ -33,6 +37,7 @@
     request.once('end', this.onEnd)
     request.once('error', error => this.destroy(error))
     this.enforcePauseTimeout(options.timeoutMs)
+    this.enforceLimit(options)
   }
 
   static create (request: IncomingMessage, options: UploadStreamOptions): UploadStream {
@@ -74,6 +79,20 @@
     if (this.hasEnded) this.push(null)
   }
 
+  /** Counts what arrives also after the stream was destroyed. */
+  private enforceLimit ({ start, maxBytes, onExceeded }: UploadStreamOptions): void {
+    const { request } = this
+    let size = start.reduce((sum, { length }) => sum + length, 0)
+    const count = (chunk: Buffer): void => {
+      size += chunk.length
+      if (size <= maxBytes) return
+      request.off('data', count)
+      onExceeded()
+      request.destroy(new Error('the request body exceeds the limit'))
+    }
+    request.on('data', count)
+  }
+
   /** Closes the connection of a caller that stops sending; pauses caused by backpressure do not count. */
   private enforcePauseTimeout (timeoutMs: Milliseconds): void {
     const { request } = this
--- a/packages/daemon/src/core/handover/handover.ts
+++ b/packages/daemon/src/core/handover/handover.ts
@@ -140,7 +140,8 @@
         else sink.sendError('queueFull', '', { retryAfterMs: FULL_RETRY_MS })
       }),
       onTimeout: () => sink.sendError('bodyTimeout', ''),
-      onTooLarge: () => sink.sendError('bodyTooLarge', '')
+      onTooLarge: () => sink.sendError('bodyTooLarge', ''),
+      onExceeded: () => this.options.eventLog.logRequest('result', { request: arrived.requestId, outcome: 'bodyTooLarge' })
     })
     return true
   }
