Keep a request for tokens in small chunks in one buffer

Callers saw: nothing yet; a faulty VM could take a hundred times the limit of its message of another one's memory.

Cause: as for the bodies of requests and responses: the limit of 64 KB counts bytes, and each chunk was an object.

Fix: the same buffer.

--- a/packages/daemon/__tests__/endlessPeers.test.ts
+++ b/packages/daemon/__tests__/endlessPeers.test.ts
@@ -1,8 +1,12 @@
+import { connect, type Socket } from 'node:net'
 import { expect } from 'chai'
 import type { LeaseResult } from '@cowsliplead/core/types/quota.js'
+import { PeerServer } from '../src/core/peers/peerServer.js'
 import { LeaseClient } from '../src/core/quotas/leaseClient.js'
+import { createLeaseHandler } from '../src/core/quotas/leaseHandler.js'
 import { sleep } from '../src/utils/sleep.js'
 import { EndlessWriter } from './endlessWriter.js'
+import { heldMegabytes } from './heldBytes.js'
 import { throwError } from './harness.js'
 
 const PART = Buffer.alloc(64 * 1024, ' ')
@@ -10,6 +14,12 @@
 /** More than the largest answer and what the two sockets hold. */
 const MAX_TAKEN_BYTES = 16 * 1024 * 1024
 
+/** A bit less than a message may have. */
+const REQUEST_CHUNKS = 60_000
+const REQUESTS = 10
+const MAX_HELD_MEGABYTES = 16
+const ARRIVAL_MS = 1500
+
 /** Longer than the time limit of an exchange. */
 const EXCHANGE_MS = 500
 
@@ -21,6 +31,32 @@
   ['an endless head', 'HTTP/1.1 200 OK\r\nX-Long: a']
 ]
 
+/** Sends a request for tokens whose body, in chunks of one byte, does not end. */
+function askEndlessly (address: string): Socket {
+  const [host = '', port = ''] = address.split(':')
+  const socket = connect(Number(port), host)
+  socket.on('error', () => {})
+  socket.write('POST / HTTP/1.1\r\nHost: a\r\nX-Cowsliplead-Peer: quota\r\nTransfer-Encoding: chunked\r\n\r\n')
+  socket.write('1\r\nx\r\n'.repeat(REQUEST_CHUNKS))
+  return socket
+}
+
+describe('a VM that never ends its request for tokens', () => {
+  // Guards against a faulty VM whose messages take a hundred times their length in memory.
+  it('takes little memory', async () => {
+    const server = PeerServer.create({
+      address: '127.0.0.1:0', handlers: { quota: createLeaseHandler(() => ({ kind: 'notHolder' }), throwError) }, onError: throwError
+    })
+    await server.start(throwError)
+    const before = heldMegabytes()
+    const sockets = Array.from({ length: REQUESTS }, () => askEndlessly(server.address))
+    await sleep(ARRIVAL_MS)
+    expect(heldMegabytes() - before).to.be.below(MAX_HELD_MEGABYTES)
+    for (const socket of sockets) socket.destroy()
+    await server.stop()
+  })
+})
+
 describe('a VM that never ends its answer', () => {
   for (const [form, start] of LEASE_HEADS) {
     // Guards against a faulty VM that fills the memory of those that ask it for tokens.
--- a/packages/daemon/src/core/quotas/leaseHandler.ts
+++ b/packages/daemon/src/core/quotas/leaseHandler.ts
@@ -2,6 +2,7 @@
 import type { LeaseAnswer, LeaseRequest } from '@cowsliplead/core/types/quota.js'
 import { parseJson } from '@cowsliplead/core/utils/parseJson.js'
 import type { PeerHandler } from '../peers/peerServer.js'
+import { BodyBuffer } from '../../utils/bodyBuffer.js'
 import { LEASE_MESSAGE, MAX_MESSAGE_BYTES } from './leaseMessages.js'
 
 /** Handles other VMs' requests for tokens: 400 for a message that cannot be read, 413 for one that is too large. */
@@ -29,15 +30,15 @@
 }
 
 function readText (request: IncomingMessage, response: ServerResponse, onText: (text: string) => void): void {
-  const chunks: Buffer[] = []
+  const body = BodyBuffer.create()
   let size = 0
   request.on('error', () => response.destroy())
   request.on('data', (chunk: Buffer) => {
     size += chunk.length
-    if (size <= MAX_MESSAGE_BYTES) return void chunks.push(chunk)
+    if (size <= MAX_MESSAGE_BYTES) return body.append(chunk)
     if (!response.headersSent) response.writeHead(413, { connection: 'close' }).end()
   })
   request.on('end', () => {
-    if (size <= MAX_MESSAGE_BYTES) onText(Buffer.concat(chunks).toString('utf8'))
+    if (size <= MAX_MESSAGE_BYTES) onText(String(body.take()[0] ?? ''))
   })
 }
