--- a/packages/daemon/__tests__/tableReader.test.ts
+++ b/packages/daemon/__tests__/tableReader.test.ts
@@ -2,6 +2,7 @@
 import { Result } from 'true-myth/result'
 import { MonotonicClock } from '../src/core/gateway/monotonicClock.js'
 import { ChangeFeed } from '../src/core/feed/changeFeed.js'
+import { readSnapshot } from '../src/core/control/tableSnapshot.js'
 import { TableReader, type TableConsumer } from '../src/core/control/tableReader.js'
 import type { ControlStore, StoreFailure, StoreResult, TableChanges, TablePage } from '../src/types/controlStore.js'
 import { sleep } from '../src/utils/sleep.js'
@@ -47,10 +48,29 @@
   return typeof value === 'string' ? Result.err(value) : Result.ok(value)
 }
 
+const PAGE_BYTES = 1024 * 1024
+const LAST_PAGE = 200
+
 function record (key: string): { key: string, value: Buffer } {
   return { key, value: Buffer.from(key) }
 }
 
+/** A store whose table has further pages without end, of which each holds a megabyte. */
+class EndlessStore extends ScriptedStore {
+  pages = 0
+
+  /** `keyOf` names the record of a page. */
+  constructor (private readonly keyOf: (page: number) => string) {
+    super([])
+  }
+
+  override async readNewest (): Promise<StoreResult<TablePage>> {
+    const key = this.keyOf(this.pages++)
+    if (this.pages > LAST_PAGE) throw new Error('read without end')
+    return Result.ok({ records: [{ key, value: Buffer.alloc(PAGE_BYTES) }], nextAfter: key, end: 1, epoch: 0 })
+  }
+}
+
 async function follow (steps: Step[]): Promise<{ calls: string[], events: string[] }> {
   const store = new ScriptedStore(steps)
   const events: string[] = []
@@ -72,6 +92,17 @@
   return { calls: store.calls, events }
 }
 
+describe('a snapshot of a table', () => {
+  // Guards against a store that fills the memory of a VM with pages, and against reading one page for ever.
+  it('fails if its pages go on too long or do not advance', async () => {
+    const long = await readSnapshot(new EndlessStore(page => String(page).padStart(6, '0')), 'upstreams')
+    expect(long.isErr && long.error).to.equal('tooLarge')
+    const repeated = new EndlessStore(() => 'same')
+    const result = await readSnapshot(repeated, 'upstreams')
+    expect([result.isErr && result.error, repeated.pages]).to.deep.equal(['invalid', 2])
+  })
+})
+
 describe('table reader', () => {
   // Guards against missing changes that are made while the pages of a snapshot are read.
   it('reads all pages, then the changes from the end offset of the first page', async () => {
