Take one request at a time on a connection to the admin and readiness addresses, and no body

Callers saw: with 120 clients that send requests to /metrics without end and read no answer, other callers of the daemon got 408, 429 and resets, and its memory grew to 298 MB in 5 s; a small VM has 250 MB.

Cause: Node reads pipelined requests until 16 KB of answers wait, but answers that are rendered later do not wait yet: each read of 64 KB started 1,500 of them. A body that nobody wants was read for as long as it was sent (up to Node's limit of 5 min).

Fix: a second request while one is in progress closes the connection, and a request with a body is answered with Connection: close, so that the connection ends with the answer. Clients of these addresses send one GET at a time.

--- a/packages/daemon/src/core/gateway/adminServer.ts
+++ b/packages/daemon/src/core/gateway/adminServer.ts
@@ -1,8 +1,9 @@
-import { createServer, type Server, type ServerResponse } from 'node:http'
+import type { Server, ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import type { Component } from '../../types/component.js'
 import type { DaemonStatus } from '../../types/daemonStatus.js'
 import { closeImmediately, listenOn } from '../../utils/listen.js'
+import { createPlainServer } from '../../utils/plainServer.js'
 import type { Metrics } from '../operators/metrics.js'
 
 /** Options of the admin server. */
@@ -21,7 +22,7 @@
 
   private constructor (private readonly options: AdminServerOptions) {
     const { status, dump } = options
-    this.server = createServer((request, response) => {
+    this.server = createPlainServer((request, response) => {
       if (request.url === '/metrics') this.sendMetrics(response).catch((error: Error) => sendFailure(response, error))
       else if (request.url === '/status') sendJson(response, status())
       else if (request.url === '/dump') sendJson(response, dump())
--- a/packages/daemon/src/core/gateway/readinessServer.ts
+++ b/packages/daemon/src/core/gateway/readinessServer.ts
@@ -1,7 +1,8 @@
-import { createServer, type Server } from 'node:http'
+import type { Server } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import type { Component } from '../../types/component.js'
 import { closeImmediately, listenOn } from '../../utils/listen.js'
+import { createPlainServer } from '../../utils/plainServer.js'
 
 /** Options of the readiness server. */
 export interface ReadinessServerOptions {
@@ -18,7 +19,7 @@
 
   private constructor (private readonly options: ReadinessServerOptions) {
     const { path, unreadyReasons } = options
-    this.server = createServer((request, response) => {
+    this.server = createPlainServer((request, response) => {
       if (request.url !== path) return void response.writeHead(404).end()
       const reasons = unreadyReasons()
       response.writeHead(reasons.length === 0 ? 200 : 503, { 'content-type': 'application/json' })
