Decide at each step of a request whether a stopping VM can finish it

Callers of a stopping VM saw requests cut without an answer at the end of the grace period, among them requests that may not be repeated.

- a request that arrived early, and whose body was complete only late, was passed on and cut;
- a request that waited for an upstream was kept waiting until the exit and cut, though it had not run;
- a response that begins before its deadline may last beyond it: such a stream was taken late by its short deadline and cut midway;
- a request that usually takes longer than is left was taken early, for certain to be cut;
- a request in flight at the exit, or one whose body had not arrived, got no answer.

Cause: whether a request can be finished was asked once, when its head arrived, and of its deadline alone. Now it is asked of the deadline and of how long such requests take (median early, 99th percentile once callers reach other VMs), on arrival and again after the quota decision and the body; a waiting request is refused when it could not end any more; the same holds for requests that are handed over. All these have not run and get 503. At 95% of the grace period the rest is answered: 'interrupted' (outcome unknown), or 'stopping' if it was not passed on. A deadline must leave time for its answer, so that it no longer meets the exit.

stopPlan.test.ts: StopPlan.accepts takes the end of the request in place of a number; the old expectations are unchanged.

--- a/packages/core/src/core/dispatch/callEngine.ts
+++ b/packages/core/src/core/dispatch/callEngine.ts
@@ -43,6 +43,11 @@
     return this.runner.attempts
   }
 
+  /** The calls that are not finished. */
+  get openCalls (): readonly CallState[] {
+    return [...this.calls.values()]
+  }
+
   get waitingCalls (): number {
     return this.waiting.size
   }
--- a/packages/core/src/core/dispatch/cancelledAttempts.ts
+++ b/packages/core/src/core/dispatch/cancelledAttempts.ts
@@ -16,7 +16,7 @@
   const { serviceTimes, outliers, clock } = context
   const { upstreamState, callState, isTrial } = attempt
   const now = clock.now()
-  if (reason === 'callerLeft') {
+  if (reason === 'callerLeft' || reason === 'interrupted') {
     if (isTrial) outliers.onTrialAbandoned(upstreamState)
     return
   }
--- a/packages/core/src/core/dispatch/dispatcher.ts
+++ b/packages/core/src/core/dispatch/dispatcher.ts
@@ -7,9 +7,19 @@
 import { AttemptEventHandler } from './attemptEventHandler.js'
 import { CallEngine } from './callEngine.js'
 import { recordProgress } from './callState.js'
+import { interruptCalls, refuseNotRun } from './stopCalls.js'
 import { RoutingContext, type DispatcherOptions } from './routingContext.js'
+import type { LatencyEstimate } from '../../types/latencyEstimate.js'
+import type { RequestKind } from '../../types/requestKind.js'
+import type { ResultCodeName } from '../../types/resultCode.js'
 import type { SuspectMark } from '../../types/suspectMark.js'
 
+const TYPICAL_QUANTILE = 0.5
+const LONG_QUANTILE = 0.99
+
+// Fewer responses are too few to estimate a high quantile.
+const MIN_LATENCY_SAMPLES = 20
+
 export type { DispatcherOptions } from './routingContext.js'
 export type { SuspectMark } from '../../types/suspectMark.js'
 
@@ -90,6 +100,24 @@
     this.engine.cancelCall(callId)
   }
 
+  /** How long attempts of a kind of request take; undefined until enough responses are known. */
+  latencyOf (kind: RequestKind): LatencyEstimate | undefined {
+    const { serviceTimes } = this.context
+    const typicalMs = serviceTimes.quantileMs(kind, TYPICAL_QUANTILE, MIN_LATENCY_SAMPLES)
+    const longMs = serviceTimes.quantileMs(kind, LONG_QUANTILE, MIN_LATENCY_SAMPLES)
+    return typicalMs === undefined || longMs === undefined ? undefined : { typicalMs, longMs }
+  }
+
+  /** Refuses the calls that have provably not run and that `selects` names. */
+  refuseNotRun (code: ResultCodeName, selects: (call: Call) => boolean): void {
+    refuseNotRun(this.engine, code, selects)
+  }
+
+  /** Ends the calls whose response has not begun, because the VM stops. Returns how many of them may have run. */
+  interruptCalls (): number {
+    return interruptCalls(this.engine)
+  }
+
   /**
    * Handles the start of a response. Returns whether the host may pass it to the caller; only one attempt per call may.
    * A server error is withheld while another attempt can still deliver a response.
--- a/packages/core/src/types/dispatch.ts
+++ b/packages/core/src/types/dispatch.ts
@@ -60,7 +60,7 @@
 export type AttemptPurpose = 'first' | 'retry' | 'hedge'
 
 /** Why an attempt is cancelled. */
-export type CancelReason = 'callerLeft' | 'lostHedge' | 'stalled' | 'deadline'
+export type CancelReason = 'callerLeft' | 'lostHedge' | 'stalled' | 'deadline' | 'interrupted'
 
 /** How an attempt ended. `notRun` is used only if the request provably did not start. */
 export type AttemptEndKind =
--- a/packages/core/src/types/resultCode.ts
+++ b/packages/core/src/types/resultCode.ts
@@ -40,6 +40,7 @@
   deadlineExceeded: code(201, 'deadlineExceeded', 'outcomeUnknown', 'The deadline passed after the call was sent.'),
   answerCrossed: code(202, 'answerCrossed', 'outcomeUnknown', 'The upstream answered another request.'),
   answerTruncated: code(203, 'answerTruncated', 'outcomeUnknown', 'The upstream cut its answer short.'),
+  interrupted: code(204, 'interrupted', 'outcomeUnknown', 'The VM stopped before the upstream had answered.'),
 
   configInvalid: code(300, 'configInvalid', 'error', 'The policy document is not valid.'),
   configConflict: code(301, 'configConflict', 'error', 'Another change was made on the same revision.'),
--- a/packages/daemon/src/core/callers/proxy.ts
+++ b/packages/daemon/src/core/callers/proxy.ts
@@ -13,14 +13,12 @@
 import { ActiveCall } from './activeCall.js'
 import { fingerprintOf } from './fingerprint.js'
 import { Pipelines } from './pipelines.js'
+import { StopRefusals } from './stopRefusals.js'
 import { readBody, type RequestBody } from './requestBody.js'
 import type { RequestIds } from './requestIds.js'
 import type { StopPlan } from '../gateway/stopPlan.js'
 import type { ServiceForwarder } from '../upstreams/serviceForwarder.js'
 
-/** After this time, a caller that a stopping VM has refused may send its request to another one. */
-const STOPPING_RETRY_MS: Milliseconds = 20
-
 /** VMs that have lost contact ask others for the age of their keys twice a second. */
 const UNCONFIRMED_RETRY_MS: Milliseconds = 500
 
@@ -91,11 +89,14 @@
   /** Number of requests whose response has not been fully sent. */
   inFlight = 0
   private readonly pipelines: Pipelines
+  /** Refuses what a stopping VM cannot finish. */
+  readonly stopRefusals: StopRefusals
   private readonly unforwardedHeaders: ReadonlySet<string>
 
   private constructor (private readonly options: ProxyOptions) {
     const { clock, dialect } = options
     this.pipelines = Pipelines.create(clock)
+    this.stopRefusals = StopRefusals.create(options)
     this.unforwardedHeaders = new Set([...dialect.strippedRequestHeaders, ...dialect.credentialHeaders])
   }
 
@@ -129,18 +130,22 @@
   /** Serves a request through this VM's own upstreams; reads the body unless it is given. */
   private serve (arrived: ArrivedRequest, readBefore?: RequestBody): void {
     const { clock, dialect, route } = this.options
-    const { request, sink, requestId, arrivedAt } = arrived
+    const { request, sink, arrivedAt } = arrived
     const target = route(request)
     if (typeof target === 'string') return sink.sendError(target, '', { retryAfterMs: target === 'keysUnconfirmed' ? UNCONFIRMED_RETRY_MS : undefined })
     const timeLeftMs = dialect.timeLeftMs(request.headers) ?? Infinity
     // The time left is as of now where another VM has handed the request over, and as of the arrival otherwise.
     const callerWaitsUntil = (arrived.isHandedOver ? clock.now() : arrivedAt) + timeLeftMs
     const deadlineAt = Math.min(callerWaitsUntil, arrivedAt + target.kind.deadlineMs)
-    if (this.options.stopPlan()?.accepts(arrivedAt, deadlineAt) === false) {
-      this.options.onRefused(requestId, 'stopping')
-      return sink.sendError('stopping', '', { retryAfterMs: STOPPING_RETRY_MS })
-    }
-    this.checkQuota({ ...arrived, target, deadlineAt, readBefore })
+    this.stopRefusals.track(arrived)
+    const routed = { ...arrived, target, deadlineAt, readBefore }
+    if (this.refusesForStop(routed)) return
+    this.checkQuota(routed)
+  }
+
+  private refusesForStop (routed: RoutedRequest): boolean {
+    const { target: { forwarder, kind }, deadlineAt } = routed
+    return this.stopRefusals.tryRefuse(routed, { deadlineAt, latency: forwarder.dispatcher.latencyOf(kind) })
   }
 
   /** The caller may leave before the decision. Until then the body is not read, and Node keeps it. */
@@ -193,6 +198,9 @@
 
   private submit (routed: RoutedRequest, body: RequestBody): void {
     const { request, target: { forwarder }, requestId, deadlineAt } = routed
+    // The quota decision and the body may have taken long.
+    if (this.refusesForStop(routed)) return
+    this.stopRefusals.onSubmit(routed)
     const { dialect, handover } = this.options
     const callRequest = {
       method: request.method as string,
--- a/packages/daemon/src/core/gateway/callerServer.ts
+++ b/packages/daemon/src/core/gateway/callerServer.ts
@@ -63,6 +63,10 @@
     return (this.server.address() as AddressInfo).port
   }
 
+  get isListening (): boolean {
+    return this.server.listening
+  }
+
   /** Applies the limits of a new configuration. */
   applyLimits (): void {
     const limits = this.options.limits()
--- a/packages/daemon/src/core/gateway/gateway.ts
+++ b/packages/daemon/src/core/gateway/gateway.ts
@@ -2,7 +2,7 @@
 import type { Component } from '../../types/component.js'
 import type { DaemonStatus } from '../../types/daemonStatus.js'
 import type { GatewaySettings } from '../../types/gatewaySettings.js'
-import { sleep } from '../../utils/sleep.js'
+import { Drain } from './drain.js'
 import { createGatewayMetrics, tableReadersOf } from './gatewayMetrics.js'
 import { GatewayParts, type GatewayDependencies } from './gatewayParts.js'
 import { StatusReport } from './statusReport.js'
@@ -11,8 +11,6 @@
 /** How often attempts that wait for a slow caller report progress; short compared with the shortest stall timeout. */
 const PROGRESS_REPORT_INTERVAL_MS: Milliseconds = 50
 
-const DRAIN_POLL_MS: Milliseconds = 20
-
 /** Daemon of one entry VM: forwards the requests of callers to upstreams. */
 export class Gateway {
   private readonly parts: GatewayParts
@@ -67,17 +65,11 @@
 
   /** Drains the daemon and stops it; returns the number of requests interrupted at the end of the grace period. */
   async stop (): Promise<number> {
-    const { clock, proxy, callerServer, eventLog: { logger } } = this.parts
+    const { clock, proxy, callerServer, services, eventLog: { logger } } = this.parts
     const plan = StopPlan.create(clock.now(), this.settings.graceMs)
     this.stopPlan = plan
     logger.info('stopping', { inFlight: proxy.inFlight })
-    await sleep(plan.listensUntil - clock.now())
-    callerServer.stopListening()
-    while ((!callerServer.isClosed || proxy.inFlight > 0) && clock.now() < plan.exitsAt) {
-      callerServer.closeIdleConnections()
-      await sleep(DRAIN_POLL_MS)
-    }
-    const interrupted = proxy.inFlight
+    const interrupted = await Drain.create({ plan, clock, proxy, callerServer, forwarders: () => services.forwarders() }).run()
     logger.info('stopped', { interrupted })
     await this.releaseResources()
     return interrupted
--- a/packages/daemon/src/core/handover/handover.ts
+++ b/packages/daemon/src/core/handover/handover.ts
@@ -127,19 +127,23 @@
   }
 
   tryHandOver (arrived: ArrivedRequest, serve: (body: RequestBody) => void): boolean {
-    const { clock, dialect, bodyTimeoutMs, maxBodyBytes, stopPlan } = this.options
+    const { dialect, bodyTimeoutMs, maxBodyBytes } = this.options
     const { request, sink, arrivedAt } = arrived
     if (this.reachability.state !== 'cutOff' || this.choice.isAllCut) return false
     const timeLeftMs = dialect.timeLeftMs(request.headers) ?? Infinity
     const deadlineAt = arrivedAt + timeLeftMs
-    if (stopPlan()?.accepts(clock.now(), deadlineAt) === false) return false
+    if (this.mayOutlastStop(deadlineAt)) return false
     readBody(request, {
       timeoutMs: Math.min(bodyTimeoutMs, Math.max(timeLeftMs, 0)),
       maxBytes: maxBodyBytes(),
-      onBody: body => this.sender.send({ ...arrived, deadlineAt, body }, refusal => {
-        if (refusal === 'noReceiver') serve(body)
-        else sink.sendError('queueFull', '', { retryAfterMs: FULL_RETRY_MS })
-      }),
+      onBody: body => {
+        // The body may have taken long.
+        if (this.mayOutlastStop(deadlineAt)) return serve(body)
+        this.sender.send({ ...arrived, deadlineAt, body }, refusal => {
+          if (refusal === 'noReceiver') serve(body)
+          else sink.sendError('queueFull', '', { retryAfterMs: FULL_RETRY_MS })
+        })
+      },
       onTimeout: () => sink.sendError('bodyTimeout', ''),
       onTooLarge: () => sink.sendError('bodyTooLarge', '')
     })
@@ -171,7 +175,13 @@
   private mayHandOver (call: ActiveCall, deadlineAt: Milliseconds): boolean {
     const { state } = this.reachability
     const isConcerned = state === 'cutOff' || (state === 'suspected' && call.unconnectedAttempts > 0)
-    return isConcerned && deadlineAt - this.options.clock.now() >= MIN_TIME_LEFT_MS
+    return isConcerned && !this.mayOutlastStop(deadlineAt) && deadlineAt - this.options.clock.now() >= MIN_TIME_LEFT_MS
+  }
+
+  /** Whether this VM is stopping and a request that another VM runs may not end before it exits. */
+  private mayOutlastStop (deadlineAt: Milliseconds): boolean {
+    const { clock, stopPlan } = this.options
+    return stopPlan()?.accepts(clock.now(), { deadlineAt, latency: undefined }) === false
   }
 
   private tick (): void {
--- a/packages/daemon/src/core/upstreams/serviceForwarder.ts
+++ b/packages/daemon/src/core/upstreams/serviceForwarder.ts
@@ -1,5 +1,6 @@
-import type { Attempt, CallResult, CancelReason, DispatchPort, RateLimitChange, ReservationChange, ResultDiagnostics, UpstreamSignal } from '@cowsliplead/core/types/dispatch.js'
+import type { Attempt, Call, CallResult, CancelReason, DispatchPort, RateLimitChange, ReservationChange, ResultDiagnostics, UpstreamSignal } from '@cowsliplead/core/types/dispatch.js'
 import type { Clock } from '@cowsliplead/core/types/clock.js'
+import type { ResultCodeName } from '@cowsliplead/core/types/resultCode.js'
 import type { SuspectMark } from '@cowsliplead/core/types/suspectMark.js'
 import type { PolicyExceptions, RoutingPolicy } from '@cowsliplead/core/types/routingPolicy.js'
 import type { Upstream } from '@cowsliplead/core/types/upstream.js'
@@ -161,6 +162,19 @@
     return unstarted
   }
 
+  /** Refuses the calls that have provably not run and that `selects` names. */
+  refuseNotRun (code: ResultCodeName, selects: (call: Call) => boolean): void {
+    this.dispatcher.refuseNotRun(code, selects)
+    this.rescheduleTick()
+  }
+
+  /** Ends the calls whose response has not begun, because the VM stops. Returns how many of them may have run. */
+  interruptCalls (): number {
+    const interrupted = this.dispatcher.interruptCalls()
+    this.rescheduleTick()
+    return interrupted
+  }
+
   /** Closes the connections; called once no calls are in flight. */
   close (): void {
     this.tickTimer.remove(this.dispatcher)
