Read the answers that have arrived before requests are ended at the exit

A caller of a stopping VM whose event loop stalled at the end of the grace period got a failure although the upstream's answer was in the VM's socket: after a stall the timer of the drain runs before sockets are read. The drain now waits for one round of the event loop.

--- a/packages/daemon/src/core/gateway/drain.ts
+++ b/packages/daemon/src/core/gateway/drain.ts
@@ -1,3 +1,4 @@
+import { setImmediate } from 'node:timers/promises'
 import type { Clock, Milliseconds } from '@cowsliplead/core/types/clock.js'
 import { sleep } from '../../utils/sleep.js'
 import type { Proxy } from '../callers/proxy.js'
@@ -30,6 +31,8 @@
     await this.pollUntil(plan.listensUntil, () => false)
     callerServer.stopListening()
     await this.pollUntil(plan.answersUntil, () => this.isDone)
+    // After a stall of the event loop, answers that have arrived are read first.
+    await setImmediate()
     const interrupted = this.answerRemaining()
     await this.pollUntil(plan.exitsAt, () => this.isDone)
     return interrupted + this.options.proxy.inFlight
