--- a/packages/daemon/__tests__/pipelinedResponses.test.ts
+++ b/packages/daemon/__tests__/pipelinedResponses.test.ts
@@ -1,7 +1,8 @@
 import type { RequestListener, ServerResponse } from 'node:http'
 import { expect } from 'chai'
+import type { Gateway } from '../src/core/gateway/gateway.js'
 import { sleep } from '../src/utils/sleep.js'
-import { reply, Rig, waitUntil } from './harness.js'
+import { createSettings, reply, Rig, waitUntil } from './harness.js'
 import { PipeliningCaller } from './pipeliningCaller.js'
 
 const LONG_BYTES = 200_000
@@ -18,6 +19,7 @@
 
 describe('pipelined responses', () => {
   let rig: Rig
+  let daemon: Gateway
   let caller: PipeliningCaller
   let paths: string[]
 
@@ -27,7 +29,7 @@
   })
 
   /** Starts a daemon with two upstreams and connects a caller; `listener` gets the requests under `/permits/long`. */
-  async function start (listener: RequestListener): Promise<void> {
+  async function start (listener: RequestListener, graceMs?: number): Promise<void> {
     paths = []
     const upstream: RequestListener = (request, response) => {
       paths.push(request.url as string)
@@ -35,7 +37,7 @@
       else reply(response, `answer to ${request.url}`)
     }
     rig = await Rig.create(upstream, upstream)
-    const daemon = await rig.start()
+    daemon = await rig.start(createSettings(graceMs === undefined ? {} : { graceMs }))
     caller = PipeliningCaller.connect(daemon.ports.public)
   }
 
@@ -130,6 +132,48 @@
     expect(caller.received.match(/y+/)?.[0]).to.have.length(LONG_BYTES)
   })
 
+  // Guards against a daemon that stops before it has answered what it has read.
+  it('all arrive from a daemon that is stopped meanwhile, also those that wait behind a streamed one', async () => {
+    let end = (): void => {}
+    await start((_request, response) => {
+      response.writeHead(200, { 'content-length': LONG_BYTES })
+      response.write(Buffer.alloc(LONG_BYTES / 2))
+      end = () => response.end(Buffer.alloc(LONG_BYTES / 2))
+    }, 2000)
+    caller.get('/permits/long')
+    await waitUntil(() => caller.statuses.length === 1)
+    caller.get('/permits/1', '/permits/2')
+    await sleep(50)
+    const stopped = daemon.stop()
+    await sleep(50)
+    end()
+    await waitUntil(() => caller.isClosed)
+    expect(caller.statuses).to.deep.equal([200, 200, 200])
+    expect(caller.received.match(/connection: close/gi)).to.have.length(1)
+    expect(caller.received.endsWith('answer to /permits/2')).to.equal(true)
+    expect(await stopped).to.equal(0)
+  })
+
+  // Guards against passing a request on that arrives behind the response with which the connection ends.
+  it('are not asked for behind the last one of a daemon that stops', async () => {
+    let end = (): void => {}
+    await start((_request, response) => {
+      response.writeHead(200, { 'content-length': VERY_LONG_BYTES })
+      response.write(Buffer.alloc(LONG_BYTES))
+      end = () => response.end(Buffer.alloc(VERY_LONG_BYTES - LONG_BYTES))
+    }, 2000)
+    const stopped = daemon.stop()
+    caller.get('/permits/long')
+    await waitUntil(() => caller.statuses.length === 1)
+    caller.get('/permits/1')
+    await sleep(50)
+    end()
+    await waitUntil(() => caller.isClosed)
+    expect(await stopped).to.equal(0)
+    expect(paths).to.deep.equal(['/permits/long'])
+    expect(caller.received.match(/\0+/)?.[0]).to.have.length(VERY_LONG_BYTES)
+  })
+
   // Guards against bytes that are lost or out of order where responses are too long to be held.
   it('arrive whole and in order if they are too long to be held', async () => {
     await start((_request, response) => reply(response, Buffer.alloc(VERY_LONG_BYTES, 'y')))
--- a/packages/daemon/__tests__/pipeliningCaller.ts
+++ b/packages/daemon/__tests__/pipeliningCaller.ts
@@ -31,14 +31,6 @@
     this.socket.write(bytes)
   }
 
-  pause (): void {
-    this.socket.pause()
-  }
-
-  resume (): void {
-    this.socket.resume()
-  }
-
   /** Closes the connection, in order or with a reset. */
   leave (how: 'close' | 'reset' = 'close'): void {
     if (how === 'reset') this.socket.resetAndDestroy()
