--- a/packages/daemon/__tests__/transfer.test.ts
+++ b/packages/daemon/__tests__/transfer.test.ts
@@ -172,6 +172,20 @@
     expect(ends).to.deep.equal(['callerLeft'])
   })
 
+  // Guards against VMs that go on with the requests behind the first one of a caller that has left.
+  it('closes the connections for all pipelined requests when the caller leaves', async () => {
+    let working = 0
+    const caller = PipeliningCaller.connect(await start((_request, response) => {
+      working++
+      response.on('close', () => working--)
+    }))
+    caller.get('/permits/1', '/permits/2', '/permits/3')
+    await waitUntil(() => working === 3)
+    caller.leave()
+    await waitUntil(() => working === 0)
+    expect(ends).to.deep.equal(['callerLeft', 'callerLeft', 'callerLeft'])
+  })
+
   // Guards against an upstream's response that passes for another VM's statement that a request has not run.
   it('removes headers between VMs from upstreams\' responses', () => {
     expect(responseHeaders(['X-Cowsliplead-Peer-Result', 'cutOff', 'a', 'b'], new Set())).to.deep.equal(['a', 'b'])
