Find out by a write whether a response without a length ended with a reset

Callers got a part of a response without a length as a whole success (MIXED) if its upstream reset the connection right behind the bytes. When bytes and reset arrive in the same poll, libuv reads the bytes and reports the hang-up as an ordinary end, so Node emits end and no error, and the connection completed the response. The earlier test reset 100 ms later and did not see it.

At such an end the connection now writes an empty line, which readers of requests skip: the write fails after a reset, and the response is truncated; it succeeds after an orderly close. Nothing is written while a body is being sent.

--- a/packages/daemon/src/core/upstreams/httpConnection.ts
+++ b/packages/daemon/src/core/upstreams/httpConnection.ts
@@ -39,6 +39,9 @@
 /** Bytes of responses to other requests that are read before the response to an exchange. */
 const MAX_SKIPPED_BYTES = 256 * 1024
 
+/** Readers of requests skip empty lines between them. */
+const EMPTY_LINE = '\r\n'
+
 /** Idle time before the first TCP keep-alive probe, by which the kernel detects an unreachable peer. */
 const KEEP_ALIVE_PROBE_MS = 1000
 
@@ -115,7 +118,8 @@
 
   private open (): Socket {
     const { connectTimeoutMs } = this.options
-    const socket = new Socket()
+    // The connection stays writable after its end, so that `onEnd` can find out how it ended.
+    const socket = new Socket({ allowHalfOpen: true })
     this.connectTimer = setTimeout(() => this.close(), connectTimeoutMs)
     socket.on('connect', () => this.onConnect())
     socket.on('data', chunk => this.onBytes(chunk))
@@ -236,8 +240,16 @@
   }
 
   private onEnd (): void {
-    // A response without a length is complete only if the connection was closed in an orderly way.
-    if (!this.wasReset && this.handler !== undefined) this.parser.end()
+    if (this.handler === undefined) return this.close()
+    // Within a body that is being sent, further bytes would change it.
+    if (this.isUploading) return this.onEndConfirmed(undefined)
+    // Node reports a reset that arrives together with the last bytes as an ordinary end; only a write tells them apart.
+    this.socket.write(EMPTY_LINE, error => this.onEndConfirmed(error))
+  }
+
+  /** A response without a length is complete only if the connection was closed in an orderly way. */
+  private onEndConfirmed (error: Error | null | undefined): void {
+    if (!error && !this.wasReset && this.handler !== undefined) this.parser.end()
     this.close()
   }
 
