--- a/packages/daemon/src/core/handover/handoverSink.ts
+++ b/packages/daemon/src/core/handover/handoverSink.ts
@@ -21,6 +21,10 @@
     return new HandoverSink(options)
   }
 
+  get sentStatus (): number | undefined {
+    return this.options.inner.sentStatus
+  }
+
   deliver (head: ResponseHead, body: readonly Buffer[]): void {
     this.options.inner.deliver(head, body)
   }
@@ -41,6 +45,10 @@
     this.options.inner.abortStream()
   }
 
+  tryHold (bytes: number): boolean {
+    return this.options.inner.tryHold(bytes)
+  }
+
   sendError (code: ResultCodeName, detail: string, options?: ErrorResponseOptions): void {
     const { inner, mayHandOver, handOver } = this.options
     const hasNotRun = RESULT_CODES[code].outcome === 'notRun' && REMEDIABLE.has(code)
