Close the connection of a VM that goes on sending a request after its refusal

Cause: the rest of a request that another VM hands over and that is refused, or whose purpose is unknown, was read for as long as it was sent: this server has no time limit on requests.

Evidence: endlessPeers.test.ts; on the code before, the connection stays open.

A VM closes it by itself as soon as it has read the refusal.

--- a/packages/daemon/__tests__/endlessPeers.test.ts
+++ b/packages/daemon/__tests__/endlessPeers.test.ts
@@ -20,6 +20,9 @@
 const MAX_HELD_MEGABYTES = 16
 const ARRIVAL_MS = 1500
 
+/** Longer than a VM goes on sending that has got its answer. */
+const CLOSE_MS = 3000
+
 /** Longer than the time limit of an exchange. */
 const EXCHANGE_MS = 500
 
@@ -57,6 +60,25 @@
   })
 })
 
+describe('a VM that never ends a request that was refused', () => {
+  // Guards against reading the rest of a body for as long as it is sent.
+  it('loses its connection after the answer', async () => {
+    const server = PeerServer.create({ address: '127.0.0.1:0', handlers: {}, onError: throwError })
+    await server.start(throwError)
+    const socket = connect(Number(server.address.split(':')[1]), '127.0.0.1')
+    let answer = ''
+    socket.on('error', () => {})
+    socket.on('data', (chunk: Buffer) => void (answer += chunk.toString()))
+    socket.write('POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n')
+    const timer = setInterval(() => socket.write('4\r\nbody\r\n'), 10)
+    for (let waited = 0; waited < CLOSE_MS && !socket.destroyed; waited += 20) await sleep(20)
+    clearInterval(timer)
+    expect([answer.slice(0, 12), socket.destroyed]).to.deep.equal(['HTTP/1.1 404', true])
+    socket.destroy()
+    await server.stop()
+  })
+})
+
 describe('a VM that never ends its answer', () => {
   for (const [form, start] of LEASE_HEADS) {
     // Guards against a faulty VM that fills the memory of those that ask it for tokens.
--- a/packages/daemon/src/core/handover/handoverReceiver.ts
+++ b/packages/daemon/src/core/handover/handoverReceiver.ts
@@ -3,6 +3,7 @@
 import type { ReceiverChoice } from '@cowsliplead/core/core/handover/receiverChoice.js'
 import type { UpstreamReachability } from '@cowsliplead/core/core/handover/upstreamReachability.js'
 import type { Milliseconds } from '@cowsliplead/core/types/clock.js'
+import { dropRest } from '../../utils/dropRest.js'
 import { PEER_ELAPSED_HEADER, PEER_RESULT_HEADER, PEER_SENDER_HEADER } from '../../utils/headers.js'
 
 /** Longest time that is believed to have passed at the sender. */
@@ -41,7 +42,7 @@
     const refusal = this.refusal()
     this.count(refusal ?? 'taken')
     if (refusal !== undefined) {
-      request.resume()
+      dropRest(request, response)
       return void response.writeHead(503, { [PEER_RESULT_HEADER]: refusal, 'content-length': 0 }).end()
     }
     response.once('close', () => limit.leave())
--- a/packages/daemon/src/core/peers/peerServer.ts
+++ b/packages/daemon/src/core/peers/peerServer.ts
@@ -2,6 +2,7 @@
 import type { AddressInfo } from 'node:net'
 import type { Component } from '../../types/component.js'
 import { splitAddress } from '../../utils/address.js'
+import { dropRest } from '../../utils/dropRest.js'
 import { PEER_PURPOSE_HEADER } from '../../utils/headers.js'
 import { closeImmediately, listenOn } from '../../utils/listen.js'
 
@@ -53,7 +54,10 @@
   /** An exception in one request must not end the process. */
   private handle (request: IncomingMessage, response: ServerResponse): void {
     const handler = this.options.handlers[request.headers[PEER_PURPOSE_HEADER] as PeerPurpose]
-    if (handler === undefined) return void response.writeHead(404).end()
+    if (handler === undefined) {
+      dropRest(request, response)
+      return void response.writeHead(404).end()
+    }
     try {
       handler(request, response)
     } catch (error) {
