--- a/packages/daemon/__tests__/endlessResponses.test.ts
+++ b/packages/daemon/__tests__/endlessResponses.test.ts
@@ -1,6 +1,7 @@
 import { createServer, type AddressInfo, type Server, type Socket } from 'node:net'
 import { expect } from 'chai'
-import { HttpConnection, type ExchangeHandler } from '../src/core/upstreams/httpConnection.js'
+import type { ExchangeHandler } from '../src/core/upstreams/exchangeHandler.js'
+import { HttpConnection } from '../src/core/upstreams/httpConnection.js'
 import { throwError } from './harness.js'
 
 const PART = 'x'.repeat(16 * 1024)
--- a/packages/daemon/src/core/upstreams/activeAttempt.ts
+++ b/packages/daemon/src/core/upstreams/activeAttempt.ts
@@ -10,7 +10,7 @@
 import type { AttemptObserver } from './attemptObserver.js'
 import type { Connection } from './connectionPool.js'
 import type { BytesRefusal } from './connectionObserver.js'
-import type { ExchangeHandler, ExchangeFailure } from './httpConnection.js'
+import type { ExchangeHandler, ExchangeFailure } from './exchangeHandler.js'
 import type { ParsedHead } from './responseParser.js'
 
 /** Responses up to this size are buffered until they are complete, so that a truncated one can be retried. */
--- a/packages/daemon/src/core/upstreams/upstreamProbe.ts
+++ b/packages/daemon/src/core/upstreams/upstreamProbe.ts
@@ -3,7 +3,7 @@
 import type { Dialect } from '../../types/dialect.js'
 import { notifyOfSignals } from '../../utils/responseSignals.js'
 import type { Connection } from './connectionPool.js'
-import type { ExchangeHandler } from './httpConnection.js'
+import type { ExchangeHandler } from './exchangeHandler.js'
 import type { ParsedHead } from './responseParser.js'
 
 /** Time after which a probe has failed and its connection is closed, because it may be broken. */
