Close the connection of a caller with 256 pipelined requests pending

Cause: Node reads further requests until answers wait for the caller. Requests that are not answered yet do not count, so that each read of 64 KB started as many as it had.

Fix: the 257th request that arrives while all before it are pending closes the connection, with a log line (outcome queueFull).

--- a/packages/daemon/src/core/callers/pipelineCounter.ts
+++ b/packages/daemon/src/core/callers/pipelineCounter.ts
@@ -1,6 +1,12 @@
 import type { Socket } from 'node:net'
 import type { Clock, Milliseconds } from '@cowsliplead/core/types/clock.js'
 
+/**
+ * Requests of one connection that may be pending at a time. Callers pipeline a few; each pending one takes several kilobytes, and
+ * Node goes on reading further ones until answers wait for the caller.
+ */
+export const MAX_PIPELINED_REQUESTS = 256
+
 interface Pipeline {
   pending: number
   /** When the last response was closed. */
@@ -30,6 +36,11 @@
     pipeline.idleSince = this.clock.now()
   }
 
+  /** Whether no further request of the connection may be taken. */
+  isFull (socket: Socket): boolean {
+    return (this.pipelines.get(socket)?.pending ?? 0) >= MAX_PIPELINED_REQUESTS
+  }
+
   /** How long the connection has had no pending request; 0 while it has one, infinite before the first. */
   idleMs (socket: Socket): Milliseconds {
     const pipeline = this.pipelines.get(socket)
--- a/packages/daemon/src/core/callers/proxy.ts
+++ b/packages/daemon/src/core/callers/proxy.ts
@@ -112,6 +112,7 @@
 
   /** Handles one request of a caller; `elapsedMs` is the time since it arrived at the VM that has handed it over. */
   handle (request: IncomingMessage, response: ServerResponse, elapsedMs?: Milliseconds): void {
+    if (this.pipelines.isFull(request.socket)) return this.closePipeline(request)
     const { clock, dialect, ids, handover } = this.options
     const arrivedAt = clock.now() - (elapsedMs ?? 0)
     this.inFlight++
@@ -129,6 +130,14 @@
     this.serve(arrived)
   }
 
+  /** Nothing promises the caller that the requests before this one have not run. Further ones may have been read already. */
+  private closePipeline ({ socket, headers }: IncomingMessage): void {
+    if (socket.destroyed) return
+    const { dialect, ids, onRefused } = this.options
+    onRefused(dialect.callerRequestId(headers) ?? ids.next(undefined), 'queueFull')
+    socket.destroy()
+  }
+
   /** Serves a request through this VM's own upstreams; reads the body unless it is given. */
   private serve (arrived: ArrivedRequest, readBefore?: RequestBody): void {
     const { clock, dialect, route } = this.options
