Survive SIGHUP while the daemon's code is loaded

Cause: the handler was installed once the whole bundle had run; until then the signal's default is to end the process.

Nothing is lost: the daemon reads the settings after that, and installs its own handler before it first waits. What remains is the time until Node runs the first line of the loader.

--- a/scripts/loader.cjs
+++ b/scripts/loader.cjs
@@ -3,6 +3,9 @@
 const { join } = require('node:path')
 const { Script } = require('node:vm')
 
+// Without a handler, SIGHUP ends the process. The daemon installs its own one before it first waits, and reads the settings then.
+if (require.main === module) process.on('SIGHUP', () => {})
+
 const BUNDLE = join(__dirname, 'bundle.cjs')
 const CACHE = join(__dirname, 'bundle.cache')
 
