--- a/packages/daemon/src/core/productDialect.ts
+++ b/packages/daemon/src/core/productDialect.ts
@@ -62,6 +62,7 @@
       notRun: status === 503 && findHeader(rawHeaders, NOT_RUN_HEADER) === '1',
       isFromOtherUpstream: false,
       isUnsigned: false,
+      isUnfoundedPromise: false,
       report: parseLoadReport(findHeader(rawHeaders, LOAD_REPORT_HEADER), now),
       rateNotice: parseRateNotice(findHeader(rawHeaders, REQUEST_RATE_HEADER)),
       idleTimeoutMs: keepAliveMs(rawHeaders),
--- a/packages/daemon/src/core/upstreams/activeAttempt.ts
+++ b/packages/daemon/src/core/upstreams/activeAttempt.ts
@@ -138,6 +138,7 @@
     this.head = { status: head.status, rawHeaders: head.rawHeaders, isFramed }
     if (metadata.notRun) this.stage = 'refused'
     else if (metadata.isUnsigned) this.fail('unsigned')
+    else if (metadata.isUnfoundedPromise && !this.options.request.isRetryable) this.fail('failed')
     else if (isFramed || this.mayAcceptCloseDelimited()) this.startBody(head.rawHeaders)
     else this.fail('truncated')
     return 'accept'
@@ -232,7 +233,7 @@
     this.options.observer.onRateNotice(this, rateNotice)
   }
 
-  private fail (kind: 'crossed' | 'truncated' | 'unsigned'): void {
+  private fail (kind: 'crossed' | 'failed' | 'truncated' | 'unsigned'): void {
     this.connection.http.destroy()
     this.finish({ kind })
   }
--- a/packages/daemon/src/types/dialect.ts
+++ b/packages/daemon/src/types/dialect.ts
@@ -31,6 +31,8 @@
   readonly isFromOtherUpstream: boolean
   /** A signature is missing that upstreams add to such a response; the response is not one that they gave. */
   readonly isUnsigned: boolean
+  /** Whether callers take the status for a promise that the request has not run, which the upstream does not state. */
+  readonly isUnfoundedPromise: boolean
   readonly report: LoadReport | undefined
   /** Undefined if what the response says about the upstream's request rate cannot be used. */
   readonly rateNotice: RateNotice | undefined
