--- a/packages/daemon/src/core/callers/callerPipeline.ts
+++ b/packages/daemon/src/core/callers/callerPipeline.ts
@@ -3,6 +3,12 @@
 import type { HeldBytes } from './heldBytes.js'
 import { PipelinedExchange, type ExchangeOrder } from './pipelinedExchange.js'
 
+/**
+ * Requests of one connection that may be pending at a time. Callers pipeline a few; each pending one takes several kilobytes, and
+ * Node goes on reading further ones until answers wait for the caller.
+ */
+export const MAX_PIPELINED_REQUESTS = 256
+
 /** The pending exchanges of one caller connection, in the order of their requests. */
 export class CallerPipeline implements ExchangeOrder {
   private readonly pending = new Map<ServerResponse, PipelinedExchange>()
@@ -26,6 +32,11 @@
     return this.pending.size > 1
   }
 
+  /** Whether no further request may be taken. */
+  get isFull (): boolean {
+    return this.pending.size >= MAX_PIPELINED_REQUESTS
+  }
+
   /** How long no exchange has been pending; 0 while one is. */
   idleMs (now: Milliseconds): Milliseconds {
     return this.pending.size > 0 ? 0 : now - this.idleSince
--- a/packages/daemon/src/core/callers/pipelines.ts
+++ b/packages/daemon/src/core/callers/pipelines.ts
@@ -28,6 +28,11 @@
     return pipeline.add(response)
   }
 
+  /** Whether no further request of the connection may be taken. */
+  isFull (socket: Socket): boolean {
+    return this.pipelines.get(socket)?.isFull ?? false
+  }
+
   /** How long the connection has had no pending request; 0 while it has one, infinite before the first. */
   idleMs (socket: Socket): Milliseconds {
     return this.pipelines.get(socket)?.idleMs(this.clock.now()) ?? Infinity
