Go on with a planned stop when SIGTERM comes again

Requests in flight on a stopping VM were cut without an answer when the process got SIGTERM a second time: the second one ended the process at once. Whoever stops a VM may signal it again (an operator, a supervisor beside the platform), the grace period bounds the stop anyway, and SIGKILL is there for an end at once. Gateway.stop now returns the outcome of its first call and logs the repetition.

--- a/packages/daemon/src/core/gateway/gateway.ts
+++ b/packages/daemon/src/core/gateway/gateway.ts
@@ -17,6 +17,7 @@
   private readonly report: StatusReport
   /** Set once the daemon is stopping. */
   private stopPlan: StopPlan | undefined
+  private stopped: Promise<number> | undefined
   private progressTimer: NodeJS.Timeout | undefined
 
   private constructor (private readonly settings: GatewaySettings, private readonly dependencies: GatewayDependencies) {
@@ -63,16 +64,14 @@
     this.parts.eventLog.logger.error('settings reload failed', { error: error.message })
   }
 
-  /** Drains the daemon and stops it; returns the number of requests interrupted at the end of the grace period. */
-  async stop (): Promise<number> {
-    const { clock, proxy, callerServer, services, eventLog: { logger } } = this.parts
-    const plan = StopPlan.create(clock.now(), this.settings.graceMs)
-    this.stopPlan = plan
-    logger.info('stopping', { inFlight: proxy.inFlight })
-    const interrupted = await Drain.create({ plan, clock, proxy, callerServer, forwarders: () => services.forwarders() }).run()
-    logger.info('stopped', { interrupted })
-    await this.releaseResources()
-    return interrupted
+  /**
+   * Drains the daemon and stops it; returns the number of requests interrupted at the end of the grace period. Further calls
+   * return the outcome of the first.
+   */
+  stop (): Promise<number> {
+    if (this.stopped === undefined) this.stopped = this.drain()
+    else this.parts.eventLog.logger.warn('asked to stop again')
+    return this.stopped
   }
 
   /** Why the daemon is not ready; empty when it is. */
@@ -92,6 +91,17 @@
     return [fleet.server, ...peerServers, ...tableReadersOf(this.parts), callerServer, readinessServer, adminServer]
   }
 
+  private async drain (): Promise<number> {
+    const { clock, proxy, callerServer, services, eventLog: { logger } } = this.parts
+    const plan = StopPlan.create(clock.now(), this.settings.graceMs)
+    this.stopPlan = plan
+    logger.info('stopping', { inFlight: proxy.inFlight })
+    const interrupted = await Drain.create({ plan, clock, proxy, callerServer, forwarders: () => services.forwarders() }).run()
+    logger.info('stopped', { interrupted })
+    await this.releaseResources()
+    return interrupted
+  }
+
   private async releaseResources (): Promise<void> {
     const { parts } = this
     clearInterval(this.progressTimer)
