Answer handed-over requests that are unfinished when the sender exits

A caller whose request a cut-off VM had handed to another one lost its connection without an answer if the cut-off VM was stopped and the request lasted beyond its exit. It now gets 'interrupted' (outcome unknown), or 'stopping' where no byte was sent, like a request that the VM serves itself.

handoverStop.test.ts: 'is answered if it is still at work when the sender exits' fails without this change (connection closed). A request that is in progress when its sender or its receiver stops is finished, and one whose only other VM is stopping is refused and doesn't run: these hold without it as well.

--- a/packages/daemon/src/core/gateway/drain.ts
+++ b/packages/daemon/src/core/gateway/drain.ts
@@ -1,6 +1,7 @@
 import { setImmediate } from 'node:timers/promises'
 import type { Clock, Milliseconds } from '@cowsliplead/core/types/clock.js'
 import { sleep } from '../../utils/sleep.js'
+import type { Handover } from '../handover/handover.js'
 import type { Proxy } from '../callers/proxy.js'
 import type { ServiceForwarder } from '../upstreams/serviceForwarder.js'
 import type { CallerServer } from './callerServer.js'
@@ -15,6 +16,8 @@
   readonly proxy: Proxy
   readonly callerServer: CallerServer
   readonly forwarders: () => readonly ServiceForwarder[]
+  /** Undefined where requests are not handed over. */
+  readonly handover: Handover | undefined
 }
 
 /** Finishes the requests in flight of a stopping daemon, and answers those that cannot be finished before its exit. */
@@ -63,6 +66,7 @@
   /** A connection that ends without an answer would leave the caller to guess whether its request has run. */
   private answerRemaining (): number {
     const interrupted = this.options.forwarders().map(forwarder => forwarder.interruptCalls())
+    this.options.handover?.interruptCalls()
     this.options.proxy.stopRefusals.refuseAll()
     return interrupted.reduce((sum, calls) => sum + calls, 0)
   }
--- a/packages/daemon/src/core/gateway/gateway.ts
+++ b/packages/daemon/src/core/gateway/gateway.ts
@@ -92,11 +92,11 @@
   }
 
   private async drain (): Promise<number> {
-    const { clock, proxy, callerServer, services, eventLog: { logger } } = this.parts
+    const { clock, proxy, callerServer, services, handover, eventLog: { logger } } = this.parts
     const plan = StopPlan.create(clock.now(), this.settings.graceMs)
     this.stopPlan = plan
     logger.info('stopping', { inFlight: proxy.inFlight })
-    const interrupted = await Drain.create({ plan, clock, proxy, callerServer, forwarders: () => services.forwarders() }).run()
+    const interrupted = await Drain.create({ plan, clock, proxy, callerServer, forwarders: () => services.forwarders(), handover }).run()
     logger.info('stopped', { interrupted })
     await this.releaseResources()
     return interrupted
--- a/packages/daemon/src/core/handover/handover.ts
+++ b/packages/daemon/src/core/handover/handover.ts
@@ -121,6 +121,11 @@
     clearInterval(this.timer)
   }
 
+  /** Answers the calls in progress at other VMs whose response has not begun, because this VM stops. */
+  interruptCalls (): void {
+    this.sender.interrupt()
+  }
+
   /** Handles a request that another VM hands over. */
   handlePeer (request: IncomingMessage, response: ServerResponse): void {
     this.receiver.handle(request, response)
--- a/packages/daemon/src/core/handover/handoverSender.ts
+++ b/packages/daemon/src/core/handover/handoverSender.ts
@@ -18,6 +18,8 @@
   /** Calls since the start, by outcome. */
   readonly outcomes = new Map<string, number>()
 
+  private readonly transfers = new Set<Transfer>()
+
   private constructor (private readonly options: HandoverSenderOptions) {}
 
   static create (options: HandoverSenderOptions): HandoverSender {
@@ -36,8 +38,9 @@
       this.count('overLimit')
       return onRefusal('limit')
     }
-    Transfer.start(call, this.options, end => {
+    const started = Transfer.start(call, this.options, (end, transfer) => {
       limit.leave()
+      this.transfers.delete(transfer)
       this.count(end.outcome)
       onEnd(call, end)
       if (end.outcome !== 'noReceiver') return
@@ -48,6 +51,12 @@
         call.sink.sendError('internal', '')
       }
     })
+    if (!started.hasEnded) this.transfers.add(started)
+  }
+
+  /** Answers the calls in progress at other VMs whose response has not begun, because this VM stops. */
+  interrupt (): void {
+    for (const transfer of [...this.transfers]) transfer.interrupt()
   }
 
   private count (outcome: string): void {
--- a/packages/daemon/src/core/handover/transfer.ts
+++ b/packages/daemon/src/core/handover/transfer.ts
@@ -64,26 +64,33 @@
   private status: number | undefined
   /** Whether each VM that was asked says that it does not reach upstreams either. */
   private isCutEverywhere = true
-  private hasEnded = false
+  /** Whether `done` was called. */
+  hasEnded = false
   private timer: NodeJS.Timeout | undefined
   private readonly relay: CallerRelay
 
   private constructor (
     private readonly call: HandoverCall,
     private readonly options: TransferOptions,
-    private readonly done: (end: TransferEnd) => void
+    private readonly done: (end: TransferEnd, transfer: Transfer) => void
   ) {
     this.relay = CallerRelay.create(call.response, () => call.sink.closesConnection)
   }
 
   /** Starts a transfer; `done` is called once. */
-  static start (call: HandoverCall, options: TransferOptions, done: (end: TransferEnd) => void): void {
+  static start (call: HandoverCall, options: TransferOptions, done: (end: TransferEnd, transfer: Transfer) => void): Transfer {
     const transfer = new Transfer(call, options, done)
     const waitMs = Math.min(call.deadlineAt - options.clock.now(), DEFAULT_WAIT_MS) + ANSWER_TRANSIT_MS
     transfer.timer = setTimeout(() => transfer.onTimeout(), Math.max(waitMs, 0))
     call.response.once('close', () => transfer.onCallerClose())
     call.response.on('drain', () => transfer.exchange?.resume())
     transfer.offerNext()
+    return transfer
+  }
+
+  /** Ends the transfer with an answer of this VM if none has begun, because the VM stops. */
+  interrupt (): void {
+    if (!this.hasEnded && this.relay.isUnsent) this.giveUpWaiting('interrupted', 'stopping')
   }
 
   onHead (head: ResponseHead): void {
@@ -160,11 +167,15 @@
 
   private onTimeout (): void {
     if (this.hasEnded) return
+    this.avoidReceiver('unreached')
+    this.giveUpWaiting('deadlineExceeded', 'deadlinePassed')
+  }
+
+  private giveUpWaiting (unknown: ResultCodeName, notRun: ResultCodeName): void {
     const mayHaveRun = this.exchange?.mayHaveRun === true
     this.exchange?.cancel()
-    this.avoidReceiver('unreached')
-    if (mayHaveRun) return this.finishUnknown('deadlineExceeded')
-    this.call.sink.sendError('deadlinePassed', '')
+    if (mayHaveRun) return this.finishUnknown(unknown)
+    this.call.sink.sendError(notRun, '')
     this.end('refused')
   }
 
@@ -180,7 +191,7 @@
     clearTimeout(this.timer)
     const receiver = this.receiver?.vmId ?? [...this.tried].pop()
     this.releaseReceiver()
-    this.done({ outcome, receiver, tried: this.tried.size, status: this.status })
+    this.done({ outcome, receiver, tried: this.tried.size, status: this.status }, this)
   }
 
   private avoidReceiver (failure: ReceiverFailure): void {
