--- a/packages/daemon/src/core/callers/stopRefusals.ts
+++ b/packages/daemon/src/core/callers/stopRefusals.ts
@@ -1,8 +1,10 @@
 import type { ServerResponse } from 'node:http'
 import type { Clock, Milliseconds } from '@cowsliplead/core/types/clock.js'
+import type { RequestKind } from '@cowsliplead/core/types/requestKind.js'
 import type { ResultCodeName } from '@cowsliplead/core/types/resultCode.js'
 import type { ResponseSink } from '../../types/responseSink.js'
-import type { RequestEnd, StopPlan } from '../gateway/stopPlan.js'
+import type { StopPlan } from '../gateway/stopPlan.js'
+import type { ServiceForwarder } from '../upstreams/serviceForwarder.js'
 
 /** After this time, a caller that a stopping VM has refused may send its request to another one. */
 const STOPPING_RETRY_MS: Milliseconds = 20
@@ -14,6 +16,12 @@
   readonly requestId: string
 }
 
+/** A request that is about to be passed on. */
+export interface StoppableRequest extends UnsubmittedRequest {
+  readonly target: { readonly forwarder: ServiceForwarder, readonly kind: RequestKind }
+  readonly deadlineAt: Milliseconds
+}
+
 /** Options of stop refusals. */
 export interface StopRefusalsOptions {
   readonly clock: Clock
@@ -44,9 +52,10 @@
   }
 
   /** Refuses a request that may not end before the VM exits. Returns whether it did. */
-  tryRefuse (request: UnsubmittedRequest, end: RequestEnd): boolean {
+  tryRefuse (request: StoppableRequest): boolean {
+    const { target: { forwarder, kind }, deadlineAt } = request
     const plan = this.options.stopPlan()
-    if (plan === undefined || plan.accepts(this.options.clock.now(), end)) return false
+    if (plan === undefined || plan.accepts(this.options.clock.now(), { deadlineAt, latency: forwarder.dispatcher.latencyOf(kind) })) return false
     this.refuse(request)
     return true
   }
--- a/packages/daemon/src/core/handover/transfer.ts
+++ b/packages/daemon/src/core/handover/transfer.ts
@@ -74,7 +74,7 @@
     private readonly options: TransferOptions,
     private readonly done: (end: TransferEnd, transfer: Transfer) => void
   ) {
-    this.relay = CallerRelay.create(call.response, () => call.sink.closesConnection)
+    this.relay = CallerRelay.create(call.response, call.sink)
   }
 
   /** Starts a transfer; `done` is called once. */
--- a/packages/daemon/src/types/responseSink.ts
+++ b/packages/daemon/src/types/responseSink.ts
@@ -23,6 +23,8 @@
 
 /** Receives the outcome of a call. */
 export interface ResponseSink {
+  /** The status that was written for the caller; undefined if none was. */
+  readonly sentStatus: number | undefined
   /** Sends a complete response; its body is delimited for the caller as it was by the upstream. */
   deliver (head: ResponseHead, body: readonly Buffer[]): void
   /** Sends the first part of a long response; the sink calls `resume` to continue after a pause. */
@@ -33,6 +35,8 @@
   endStream (): void
   /** Aborts a truncated long response, so that what was sent does not look complete. */
   abortStream (): void
+  /** Whether a response of this length is held until it is complete, because others of the connection depend on it. */
+  tryHold (bytes: number): boolean
   /** Sends an error response with a result code. */
   sendError (code: ResultCodeName, detail: string, options?: ErrorResponseOptions): void
 }
