--- a/packages/daemon/src/core/callers/proxy.ts
+++ b/packages/daemon/src/core/callers/proxy.ts
@@ -154,16 +154,10 @@
     const deadlineAt = Math.min(callerWaitsUntil, arrivedAt + target.kind.deadlineMs)
     this.stopRefusals.track(arrived)
     const routed = { ...arrived, target, deadlineAt, readBefore }
-    if (this.refusesForStop(routed)) return
+    if (this.stopRefusals.tryRefuse(routed)) return
     this.checkQuota(routed)
   }
 
-  private refusesForStop (routed: RoutedRequest): boolean {
-    const { target: { forwarder, kind }, deadlineAt } = routed
-    if (this.options.stopPlan() === undefined) return false
-    return this.stopRefusals.tryRefuse(routed, { deadlineAt, latency: forwarder.dispatcher.latencyOf(kind) })
-  }
-
   /** The caller may leave before the decision. Until then the body is not read, and Node keeps it. */
   private checkQuota (routed: RoutedRequest): void {
     const { target: { customer }, response } = routed
@@ -216,7 +210,7 @@
   private submit (routed: RoutedRequest, body: RequestBody): void {
     const { request, target: { forwarder }, requestId, deadlineAt } = routed
     // The quota decision and the body may have taken long.
-    if (this.refusesForStop(routed)) return
+    if (this.stopRefusals.tryRefuse(routed)) return
     this.stopRefusals.onSubmit(routed)
     const { dialect, handover } = this.options
     const callRequest = {
