--- a/packages/daemon/__tests__/httpConnection.test.ts
+++ b/packages/daemon/__tests__/httpConnection.test.ts
@@ -90,6 +90,15 @@
     expect([recorder.body, await recorder.ended]).to.deep.equal(['second', 'complete'])
   })
 
+  // Guards against a request that is given up because the second copy of a long download comes first.
+  it('skips a late extra response of several hundred kilobytes', async () => {
+    const stray = response('x'.repeat(400_000), 'stray')
+    const connection = await listen((socket, count) => socket.write(count === 1 ? response('first') : stray + response('second')))
+    await exchange(connection)
+    const recorder = await exchange(connection, new Recorder(head => head.rawHeaders[1] === 'own'))
+    expect([await recorder.ended, recorder.body]).to.deep.equal(['complete', 'second'])
+  })
+
   // Guards against a streamed body that is not sent to its end because a stray response arrives meanwhile.
   it('goes on sending a body when a stray response arrives', async () => {
     const body = new PassThrough()
