--- a/packages/daemon/src/core/gateway/gatewayParts.ts
+++ b/packages/daemon/src/core/gateway/gatewayParts.ts
@@ -99,8 +99,7 @@
     private readonly dependencies: GatewayDependencies,
     private readonly host: GatewayHost
   ) {
-    const { clock } = this
-    const { store } = dependencies
+    const { clock, dependencies: { store } } = this
     this.eventLog = EventLog.create(settings.vmId, clock, dependencies.output)
     const { logger } = this.eventLog
     this.keyConfirmation = KeyConfirmation.create(settings.maxKeyAgeMs, logger)
--- a/packages/daemon/src/core/handover/callerRelay.ts
+++ b/packages/daemon/src/core/handover/callerRelay.ts
@@ -1,10 +1,10 @@
 import type { ServerResponse } from 'node:http'
+import { MAX_BUFFERED_RESPONSE_BYTES } from '../../types/attempt.js'
 import type { ResponseHead } from '../../types/responseSink.js'
 import { BodyBuffer } from '../../utils/bodyBuffer.js'
 import { abortResponse } from '../../utils/abortResponse.js'
 import { findHeader, responseHeaders } from '../../utils/headers.js'
 import type { CallerSink } from '../callers/callerSink.js'
-import { MAX_BUFFERED_RESPONSE_BYTES } from '../upstreams/activeAttempt.js'
 
 const NO_HEADERS: ReadonlySet<string> = new Set()
 
--- a/packages/daemon/src/core/handover/transfer.ts
+++ b/packages/daemon/src/core/handover/transfer.ts
@@ -7,6 +7,7 @@
 import type { ResponseHead } from '../../types/responseSink.js'
 import { CallerRelay } from './callerRelay.js'
 import type { HandoverCall } from './handoverCall.js'
+import { FAILURE_BY_RESULT, RECEIVER_ONLY_RESULTS } from './receiverResults.js'
 import { PeerExchange, type PeerError, type PeerExchangeHandler } from './peerExchange.js'
 
 /** VMs that are asked to take one call. */
@@ -21,26 +22,6 @@
 /** The receiver ends a response in progress by then; if it does not, it is frozen or cannot be reached. */
 const RESPONSE_END_MS: Milliseconds = 250
 
-/**
- * Errors after which another VM may take the call, and how the one that gave it is avoided. All of them state that the
- * call has not run. Other errors, such as an unknown key, would be the same at every VM.
- */
-const FAILURE_BY_RESULT: Readonly<Record<string, ReceiverFailure>> = {
-  cutOff: 'cutOff',
-  noUpstream: 'full',
-  shed: 'full',
-  full: 'full',
-  queueFull: 'full',
-  deadlineUnreachable: 'full',
-  rateLimited: 'full',
-  stopping: 'unreached',
-  notReady: 'unreached',
-  keysUnconfirmed: 'full'
-}
-
-/** Reasons that a receiver gives before it takes a call; they are no answers for callers. */
-const RECEIVER_ONLY_RESULTS: ReadonlySet<string> = new Set(['cutOff', 'full', 'stopping'])
-
 /** Options of a transfer. */
 export interface TransferOptions {
   readonly vmId: string
--- a/packages/daemon/src/core/upstreams/activeAttempt.ts
+++ b/packages/daemon/src/core/upstreams/activeAttempt.ts
@@ -1,20 +1,34 @@
 import type { AttemptEnd } from '@cowsliplead/core/types/dispatch.js'
-import type { LoadReport } from '@cowsliplead/core/types/upstream.js'
+import type { LoadReport, RateNotice, ResponseSignals } from '@cowsliplead/core/types/upstream.js'
 import type { Clock, Milliseconds } from '@cowsliplead/core/types/clock.js'
-import type { AttemptDescription, AttemptRequest, BufferedResponse } from '../../types/attempt.js'
+import { MAX_BUFFERED_RESPONSE_BYTES, type AttemptDescription, type AttemptRequest, type BufferedResponse } from '../../types/attempt.js'
 import type { Dialect, ResponseMetadata } from '../../types/dialect.js'
-import type { ResponseHead } from '../../types/responseSink.js'
+import type { ResponseHead, StreamDecision } from '../../types/responseSink.js'
 import { BodyBuffer } from '../../utils/bodyBuffer.js'
 import { findHeader } from '../../utils/headers.js'
 import { notifyOfSignals, pauseOf } from '../../utils/responseSignals.js'
-import type { AttemptObserver } from './attemptObserver.js'
 import type { Connection } from './connectionPool.js'
 import type { BytesRefusal } from './connectionObserver.js'
 import type { ExchangeHandler, ExchangeFailure } from './exchangeHandler.js'
 import type { ParsedHead } from './responseParser.js'
 
-/** Responses up to this size are buffered until they are complete, so that a truncated one can be retried. */
-export const MAX_BUFFERED_RESPONSE_BYTES = 64 * 1024
+/** Receives the events of an attempt. */
+export interface AttemptObserver {
+  /** The head of the response says how many requests a second the upstream takes. */
+  onRateNotice (attempt: ActiveAttempt, notice: RateNotice): void
+  /** The head of the response says that the upstream is leaving or asks for a pause. */
+  onSignals (attempt: ActiveAttempt, signals: ResponseSignals): void
+  /** The head of a response has arrived, whatever it says. */
+  onResponse (attempt: ActiveAttempt, isNewConnection: boolean): void
+  /** Bytes were sent or received, which restarts stall detection. */
+  onProgress (attempt: ActiveAttempt): void
+  /** The response is too long to be buffered; `chunks` are those received so far. */
+  onStream (attempt: ActiveAttempt, head: ResponseHead, chunks: readonly Buffer[]): StreamDecision
+  /** The next chunk of a streamed response; returning false pauses reading until `resume`. */
+  onChunk (attempt: ActiveAttempt, chunk: Buffer): boolean
+  /** Called exactly once. A complete response that was not streamed is in `bufferedResponse`. */
+  onEnd (attempt: ActiveAttempt, end: AttemptEnd): void
+}
 
 /** Progress of an attempt. `refused`: the upstream states that it did not run the request. */
 type AttemptStage = 'unsent' | 'sent' | 'refused' | 'buffering' | 'streaming' | 'ended'
--- a/packages/daemon/src/core/upstreams/httpConnection.ts
+++ b/packages/daemon/src/core/upstreams/httpConnection.ts
@@ -19,10 +19,7 @@
   readonly observer?: ConnectionObserver | undefined
 }
 
-/**
- * Bytes of responses to other requests that are read before the response to an exchange. They are not kept, so that a long
- * one may pass; the limit ends one that never ends.
- */
+/** Bytes of responses to other requests that are read, but not kept, before the response to an exchange. */
 const MAX_SKIPPED_BYTES = 16 * 1024 * 1024
 
 /** Readers of requests skip empty lines between them. */
--- a/packages/daemon/src/types/attempt.ts
+++ b/packages/daemon/src/types/attempt.ts
@@ -16,6 +16,9 @@
   readonly tryHold: (bytes: number) => boolean
 }
 
+/** Responses up to this size are buffered until they are complete, so that a truncated one can be retried. */
+export const MAX_BUFFERED_RESPONSE_BYTES = 64 * 1024
+
 /** A complete response in memory. */
 export interface BufferedResponse {
   readonly head: ResponseHead
