--- a/packages/daemon/__tests__/transfer.test.ts
+++ b/packages/daemon/__tests__/transfer.test.ts
@@ -124,7 +124,6 @@
     expect(ends).to.deep.equal(['unknown'])
   })
 
-  // Guards against long bodies that are held in memory or cut off.
   // Guards against a caller that is held for ever by a VM that falls silent in the middle of a response.
   it('breaks off a response that has not ended shortly after the deadline', async () => {
     const port = await start((_request, response) => {
@@ -152,6 +151,7 @@
     caller.leave()
   })
 
+  // Guards against long bodies that are held in memory or cut off.
   it('streams long bodies in both directions', async () => {
     const port = await start((request, response) => void request.pipe(response))
     const result = await call(port, 'POST', '/issues/1', { body: LARGE_BODY })
--- a/packages/daemon/src/core/callers/callerSink.ts
+++ b/packages/daemon/src/core/callers/callerSink.ts
@@ -41,6 +41,10 @@
     return this.options.closesConnection()
   }
 
+  get sentStatus (): number | undefined {
+    return this.response.headersSent ? this.response.statusCode : undefined
+  }
+
   /** The response's place among those of its connection. */
   get exchange (): PipelinedExchange {
     return this.options.exchange
