Give two tests room on busy machines

Both failed once in a run of all daemon tests at a load of over 20. 'refuses a request that usually takes longer than is left' had 150 ms between a request that fits into the grace period and one that does not; now 1.7 s, with a longer grace period and longer work, and the same two expectations. 'take little memory in responses that are not complete' asked after 2.5 s whether all calls were still in flight, when some had met their time limit; it asks when the last one has started, before the memory is measured.

--- a/packages/daemon/__tests__/lateInTheGrace.test.ts
+++ b/packages/daemon/__tests__/lateInTheGrace.test.ts
@@ -16,6 +16,11 @@
 const LONG_GRACE_MS = 5000
 const DETECTED_AFTER_MS = 2600
 
+/** With this one, callers reach other VMs after 2.2 s. A request that takes so long fits in at first, and not after the wait. */
+const EARLY_GRACE_MS = 4000
+const EARLY_WORK_MS = 2100
+const EARLY_WAIT_MS = 1800
+
 /** Enough responses for the daemon to know how long a kind of request takes. */
 const WARM_UP_CALLS = 24
 
@@ -140,17 +145,17 @@
 describe('a stopping daemon, early in the grace period,', () => {
   // Guards against a request that is taken although it will most likely be cut off.
   it('refuses a request that usually takes longer than is left', async () => {
-    const rig = await Rig.create(...Array.from({ length: 6 }, () => (_incoming: unknown, response: Parameters<typeof reply>[0]) => setTimeout(() => reply(response, 'ok'), 800)))
+    const rig = await Rig.create(...Array.from({ length: 6 }, () => (_incoming: unknown, response: Parameters<typeof reply>[0]) => setTimeout(() => reply(response, 'ok'), EARLY_WORK_MS)))
     try {
-      const daemon = await rig.start(createSettings({ graceMs: 1000 }))
+      const daemon = await rig.start(createSettings({ graceMs: EARLY_GRACE_MS }))
       await Promise.all(Array.from({ length: WARM_UP_CALLS }, () => call(daemon.ports.public, 'GET', '/permits/1')))
       const stopped = daemon.stop()
       expect((await call(daemon.ports.public, 'GET', '/permits/1')).status).to.equal(200)
       await stopped
-      const next = await rig.start(createSettings({ graceMs: 1000, vmId: 'vm1' }))
+      const next = await rig.start(createSettings({ graceMs: EARLY_GRACE_MS, vmId: 'vm1' }))
       await Promise.all(Array.from({ length: WARM_UP_CALLS }, () => call(next.ports.public, 'GET', '/permits/1')))
       const nextStopped = next.stop()
-      await sleep(300)
+      await sleep(EARLY_WAIT_MS)
       const refused = await call(next.ports.public, 'GET', '/permits/1')
       expect([refused.status, refused.headers[CODE_HEADER]]).to.deep.equal(STOPPING)
       await nextStopped
--- a/packages/daemon/__tests__/smallChunks.test.ts
+++ b/packages/daemon/__tests__/smallChunks.test.ts
@@ -58,8 +58,8 @@
     const before = heldMegabytes()
     for (let i = 0; i < CALLS; i++) open(daemon.ports.public, 'POST', '/issues/1').catch(() => {})
     await waitUntil(() => started >= CALLS)
-    expect(await highestHeld() - before).to.be.below(MAX_HELD_MEGABYTES)
     expect(daemon.status().callsInFlight).to.equal(CALLS)
+    expect(await highestHeld() - before).to.be.below(MAX_HELD_MEGABYTES)
   })
 
   // Guards against callers whose short bodies take hundreds of times their length in memory and so end the process.
