Do not deliver a late copy within the body of the next response

Callers got a signed 200 with the bytes of another response in its body: an upstream that writes a response in parts had written a late copy of an earlier one between them. A body on a connection with earlier requests was not looked at.

--- a/packages/daemon/src/core/upstreams/activeAttempt.ts
+++ b/packages/daemon/src/core/upstreams/activeAttempt.ts
@@ -1,34 +1,21 @@
 import type { AttemptEnd } from '@cowsliplead/core/types/dispatch.js'
-import type { LoadReport, RateNotice, ResponseSignals } from '@cowsliplead/core/types/upstream.js'
+import type { LoadReport } from '@cowsliplead/core/types/upstream.js'
 import type { Clock, Milliseconds } from '@cowsliplead/core/types/clock.js'
 import { MAX_BUFFERED_RESPONSE_BYTES, type AttemptDescription, type AttemptRequest, type BufferedResponse } from '../../types/attempt.js'
 import type { Dialect, ResponseMetadata } from '../../types/dialect.js'
-import type { ResponseHead, StreamDecision } from '../../types/responseSink.js'
+import type { ResponseHead } from '../../types/responseSink.js'
 import { BodyBuffer } from '../../utils/bodyBuffer.js'
 import { findHeader } from '../../utils/headers.js'
 import { notifyOfSignals, pauseOf } from '../../utils/responseSignals.js'
+import type { AttemptObserver } from './attemptObserver.js'
 import type { Connection } from './connectionPool.js'
 import type { BytesRefusal } from './connectionObserver.js'
 import type { ExchangeHandler, ExchangeFailure } from './exchangeHandler.js'
 import type { ParsedHead } from './responseParser.js'
+import { StrayScanner } from './strayScanner.js'
 
-/** Receives the events of an attempt. */
-export interface AttemptObserver {
-  /** The head of the response says how many requests a second the upstream takes. */
-  onRateNotice (attempt: ActiveAttempt, notice: RateNotice): void
-  /** The head of the response says that the upstream is leaving or asks for a pause. */
-  onSignals (attempt: ActiveAttempt, signals: ResponseSignals): void
-  /** The head of a response has arrived, whatever it says. */
-  onResponse (attempt: ActiveAttempt, isNewConnection: boolean): void
-  /** Bytes were sent or received, which restarts stall detection. */
-  onProgress (attempt: ActiveAttempt): void
-  /** The response is too long to be buffered; `chunks` are those received so far. */
-  onStream (attempt: ActiveAttempt, head: ResponseHead, chunks: readonly Buffer[]): StreamDecision
-  /** The next chunk of a streamed response; returning false pauses reading until `resume`. */
-  onChunk (attempt: ActiveAttempt, chunk: Buffer): boolean
-  /** Called exactly once. A complete response that was not streamed is in `bufferedResponse`. */
-  onEnd (attempt: ActiveAttempt, end: AttemptEnd): void
-}
+/** Ids that are kept of a connection's earlier requests. */
+const MAX_EARLIER_IDS = 16
 
 /** Progress of an attempt. `refused`: the upstream states that it did not run the request. */
 type AttemptStage = 'unsent' | 'sent' | 'refused' | 'buffering' | 'streaming' | 'ended'
@@ -39,7 +26,7 @@
   readonly callId: number
   readonly connection: Connection
   readonly request: AttemptRequest
-  readonly observer: AttemptObserver
+  readonly observer: AttemptObserver<ActiveAttempt>
   readonly clock: Clock
   readonly dialect: Dialect
 }
@@ -63,6 +50,7 @@
   private retryAfterMs: Milliseconds | undefined
   private readonly buffered = BodyBuffer.create()
   private bodyBytes = 0
+  private readonly scanner: StrayScanner
   /** Responses that the connection had carried before this attempt. */
   private readonly earlierResponses: number
   /** Responses to other requests that were skipped in this attempt, and the status of the last one. */
@@ -73,6 +61,7 @@
     this.attemptId = options.attemptId
     this.callId = options.callId
     this.connection = options.connection
+    this.scanner = StrayScanner.create([...options.connection.earlierIds])
     this.earlierResponses = options.connection.http.completedResponses
   }
 
@@ -113,6 +102,9 @@
   }
 
   onSent (): void {
+    const { earlierIds } = this.connection
+    earlierIds.push(this.options.request.echoedId)
+    if (earlierIds.length > MAX_EARLIER_IDS) earlierIds.shift()
     this.stage = 'sent'
     this.wasSent = true
   }
@@ -147,6 +139,7 @@
   onData (chunk: Buffer): boolean {
     this.options.observer.onProgress(this)
     this.bodyBytes += chunk.length
+    if (this.scanner.finds(chunk)) return this.failCrossed()
     if (this.stage === 'streaming') return this.options.observer.onChunk(this, chunk)
     if (this.stage !== 'buffering') return true
     if (!this.mayBuffer(this.bodyBytes)) return this.startStream([...this.buffered.take(), chunk])
@@ -236,6 +229,11 @@
     this.options.observer.onRateNotice(this, rateNotice)
   }
 
+  private failCrossed (): boolean {
+    this.fail('crossed')
+    return true
+  }
+
   private fail (kind: 'crossed' | 'failed' | 'truncated' | 'unsigned'): void {
     this.connection.http.destroy()
     this.finish({ kind })
--- a/packages/daemon/src/core/upstreams/connectionPool.ts
+++ b/packages/daemon/src/core/upstreams/connectionPool.ts
@@ -25,6 +25,8 @@
   idleTimeoutMs: Milliseconds | undefined
   /** Whether it has carried a response without an id, of which a second copy would have no id either. */
   hadResponseWithoutId: boolean
+  /** Ids of the last requests that it has carried; more copies of older ones are not expected. */
+  readonly earlierIds: string[]
 }
 
 /** What a request needs of its connection. */
@@ -161,7 +163,7 @@
     const http = HttpConnection.create({ host, port, connectTimeoutMs, onError, observer: this, onClose: () => this.removeIdle(connection) })
     const now = clock.now()
     const number = ++this.opened
-    const connection: Connection = { http, number, openedAt: now, lastResponseAt: 0, idleSince: now, idleTimeoutMs: undefined, hadResponseWithoutId: false }
+    const connection: Connection = { http, number, openedAt: now, lastResponseAt: 0, idleSince: now, idleTimeoutMs: undefined, hadResponseWithoutId: false, earlierIds: [] }
     return connection
   }
 
--- a/packages/daemon/src/core/upstreams/serviceAttempts.ts
+++ b/packages/daemon/src/core/upstreams/serviceAttempts.ts
@@ -6,7 +6,8 @@
 import type { ResponseHead, StreamDecision } from '../../types/responseSink.js'
 import type { Dialect } from '../../types/dialect.js'
 import type { ActiveCall } from '../callers/activeCall.js'
-import { ActiveAttempt, type AttemptObserver } from './activeAttempt.js'
+import { ActiveAttempt } from './activeAttempt.js'
+import type { AttemptObserver } from './attemptObserver.js'
 import type { CallObserver } from './callObserver.js'
 import type { ConnectionPool } from './connectionPool.js'
 import type { ContactObserver } from './loadProber.js'
@@ -37,7 +38,7 @@
 }
 
 /** The attempts in progress of one service: starts and cancels them, and passes their events to the dispatcher and the callers. */
-export class ServiceAttempts implements AttemptObserver {
+export class ServiceAttempts implements AttemptObserver<ActiveAttempt> {
   /** The attempt whose end the dispatcher is processing; its buffered response is delivered to the caller. */
   private ending: ActiveAttempt | undefined
   /** Attempts whose response is paused until the caller reads more. */
