Send nothing for an exchange with another VM that was given up

Callers got 503 'not run' for a request that another VM then ran: a handed-over request whose deadline passed (or whose VM stopped) while its connection was opening was given up, and the client sent it before it was destroyed. The exchange now aborts the request when it starts after its end. givenUpExchange.test.ts: three of three fail before.

--- a/packages/daemon/src/core/handover/peerExchange.ts
+++ b/packages/daemon/src/core/handover/peerExchange.ts
@@ -91,6 +91,8 @@
   }
 
   onRequestStart (controller: Dispatcher.DispatchController): void {
+    // The connection may open after the exchange was given up, when the caller has been told that its request has not run.
+    if (this.hasEnded) return controller.abort(new Error('the exchange was given up'))
     this.controller = controller
     this.wasSent = true
   }
