Refuse a request of a stopping VM once

A caller with several refused requests behind one at work lost their answers: those that waited for their turn were refused again at the end of the grace period, and the second answer closed the connection. A refused request is forgotten at once. lateInTheGrace.test.ts, 'answers all refused requests behind one that is interrupted', fails before (502, 503 in place of 502 and three times 503).

--- a/packages/daemon/__tests__/lateInTheGrace.test.ts
+++ b/packages/daemon/__tests__/lateInTheGrace.test.ts
@@ -5,6 +5,7 @@
 import { CODE_HEADER } from '../src/utils/headers.js'
 import { sleep } from '../src/utils/sleep.js'
 import { call, createSettings, reply, Rig, type Reply } from './harness.js'
+import { PipeliningCaller } from './pipeliningCaller.js'
 
 /** Callers reach other VMs after 1.1 s, and the daemon exits after 1.94 s. */
 const GRACE_MS = 2000
@@ -163,6 +164,24 @@
       await rig.close()
     }
   })
+
+  // Guards against answers that are lost with their connection because one of them is written twice.
+  it('answers all refused requests behind one that is interrupted', async () => {
+    const rig = await Rig.create((_incoming: unknown, response: Parameters<typeof reply>[0]) => setTimeout(() => reply(response, 'ok'), LONG_GRACE_MS))
+    try {
+      const daemon = await rig.start(createSettings({ graceMs: GRACE_MS }))
+      const caller = PipeliningCaller.connect(daemon.ports.public)
+      const stopped = daemon.stop()
+      caller.get('/permits/1')
+      await sleep(LATE_MS)
+      caller.get('/permits/2', '/permits/3', '/permits/4')
+      await stopped
+      await sleep(100)
+      expect(caller.statuses).to.deep.equal([502, 503, 503, 503])
+    } finally {
+      await rig.close()
+    }
+  })
 })
 
 /** A request of which only the head and a part of the body are sent. */
--- a/packages/daemon/src/core/callers/stopRefusals.ts
+++ b/packages/daemon/src/core/callers/stopRefusals.ts
@@ -67,7 +67,8 @@
     }
   }
 
-  private refuse ({ sink, requestId }: UnsubmittedRequest): void {
+  private refuse ({ sink, requestId, response }: UnsubmittedRequest): void {
+    this.unsubmitted.delete(response)
     this.options.onRefused(requestId, 'stopping')
     sink.sendError('stopping', '', { retryAfterMs: STOPPING_RETRY_MS })
   }
