--- a/packages/daemon/src/core/upstreams/httpConnection.ts
+++ b/packages/daemon/src/core/upstreams/httpConnection.ts
@@ -212,8 +212,8 @@
 
   private onEnd (): void {
     if (this.handler === undefined) return this.close()
-    // Within a body that is still being sent, further bytes would change it or wait for the upstream to read.
-    if (this.isUploading || this.socket.writableLength > 0) return this.onEndConfirmed(undefined)
+    // Nothing can be written behind a request that is still being sent, so that a reset would not be noticed.
+    if (this.isUploading || this.socket.writableLength > 0) return this.close()
     // Node reports a reset that arrives together with the last bytes as an ordinary end; only a write tells them apart.
     this.socket.write(EMPTY_LINE, error => this.onEndConfirmed(error))
   }
