Log what a VM does besides serving requests, and how long it knew nothing

Nothing told the processor time of a VM's fixed work from that for requests, nor which entries a VM keeps after an outage. Line 'work' every 10 s with four gauges; outageMs and kept on the lines of an outage's end.

--- a/packages/core/src/core/dispatch/dispatcher.ts
+++ b/packages/core/src/core/dispatch/dispatcher.ts
@@ -85,6 +85,11 @@
     return this.context.table.inUse().length
   }
 
+  /** Load probes since the start. */
+  get probeCount (): number {
+    return this.context.counters.probes
+  }
+
   /** Calls that wait for an upstream. */
   get waitingCalls (): number {
     return this.engine.waitingCalls
--- a/packages/core/src/core/membership/upstreamDirectory.ts
+++ b/packages/core/src/core/membership/upstreamDirectory.ts
@@ -108,18 +108,22 @@
     return missing.filter(id => this.remove(id, now) === 'removed')
   }
 
+  /** Ids of the upstreams that are kept although their entries are missing. */
+  missing (): string[] {
+    return [...this.known].filter(([, { missingSince }]) => missingSince !== undefined).map(([id]) => id)
+  }
+
   /** When upstreams with missing entries are due for removal; undefined if no entry is missing. */
   nextExpiryAt (): Milliseconds | undefined {
-    const isMissing = [...this.known.values()].some(({ missingSince }) => missingSince !== undefined)
-    return isMissing ? this.holdUntil : undefined
+    return this.missing().length > 0 ? this.holdUntil : undefined
   }
 
   /** Removes upstreams that did not renew their entries in time. Returns their ids. */
   expire (now: Milliseconds): string[] {
     if (now < this.holdUntil) return []
-    const expired = [...this.known].filter(([, known]) => known.missingSince !== undefined)
-    for (const [id, { entry }] of expired) this.delete(id, entry, now)
-    return expired.map(([id]) => id)
+    const expired = this.missing()
+    for (const id of expired) this.delete(id, (this.known.get(id) as KnownUpstream).entry, now)
+    return expired
   }
 
   private delete (id: string, entry: UpstreamEntry, now: Milliseconds): void {
--- a/packages/daemon/src/core/callers/proxy.ts
+++ b/packages/daemon/src/core/callers/proxy.ts
@@ -55,6 +55,8 @@
 export class Proxy {
   /** Number of requests whose response has not been fully sent. */
   inFlight = 0
+  /** Requests since the start. */
+  requests = 0
   private readonly pipelines: Pipelines
   /** Refuses what a stopping VM cannot finish. */
   readonly stopRefusals: StopRefusals
@@ -82,6 +84,7 @@
     const { clock, dialect, ids } = this.options
     const arrivedAt = clock.now() - (elapsedMs ?? 0)
     this.inFlight++
+    this.requests++
     const exchange = this.pipelines.enter(response)
     response.once('close', () => {
       this.inFlight--
--- a/packages/daemon/src/core/control/controlState.ts
+++ b/packages/daemon/src/core/control/controlState.ts
@@ -155,8 +155,8 @@
     return {
       ...outageLog,
       isOutdated: record => this.isOutdatedUpstream(record),
-      onRecovery: () => {
-        outageLog.onRecovery()
+      onRecovery: outageMs => {
+        outageLog.onRecovery(outageMs)
         this.directory.onStoreRecovered(clock.now())
       },
       // Upstreams that registered after the copy write their entries again.
@@ -219,7 +219,7 @@
     }
     const removed = this.directory.replaceAll(entries, clock.now())
     this.hasReadUpstreams = true
-    logger.info('upstreams read', { count: entries.length, removed })
+    logger.info('upstreams read', { count: entries.length, removed, kept: this.directory.missing() })
     this.evacuations.logUnknownDomains()
     this.updateUpstreams()
   }
--- a/packages/daemon/src/core/control/tableReader.ts
+++ b/packages/daemon/src/core/control/tableReader.ts
@@ -217,11 +217,13 @@
   }
 
   private onAnswer (): void {
-    this.lastAnswerAt = this.options.clock.now()
+    const now = this.options.clock.now()
+    const outageMs = now - (this.lastAnswerAt ?? now)
+    this.lastAnswerAt = now
     this.retryMs = INITIAL_RETRY_MS
     if (!this.isFailing) return
     this.isFailing = false
-    this.options.consumer.onRecovery()
+    this.options.consumer.onRecovery(outageMs)
   }
 
   private async backOff (failure: StoreFailure, signal: AbortSignal): Promise<void> {
--- a/packages/daemon/src/core/feed/feedFollower.ts
+++ b/packages/daemon/src/core/feed/feedFollower.ts
@@ -51,6 +51,8 @@
   private readonly connections = new Map<string, FeedConnection>()
   private readonly outages = new Map<string, Outage>()
   private readonly additionalSources = AdditionalSources.create(SeededRandom.create(process.pid ^ Date.now()))
+  /** Messages received since the start. */
+  received = 0
   private timer: NodeJS.Timeout | undefined
   private currentRole: FleetRole | undefined
 
@@ -102,6 +104,7 @@
   }
 
   onMessage ({ vmId }: FleetMember, message: FeedMessage): void {
+    this.received += 1
     this.outages.delete(vmId)
     this.deliver(vmId, message)
   }
--- a/packages/daemon/src/core/feed/feedServer.ts
+++ b/packages/daemon/src/core/feed/feedServer.ts
@@ -44,6 +44,8 @@
 /** Passes on what this VM knows of the store to its followers. */
 export class FeedServer implements Component, FeedPublisher {
   readonly name = 'feed server'
+  /** Messages sent since the start. */
+  sent = 0
   private server: WebSocketServer | undefined
   private heartbeat: NodeJS.Timeout | undefined
   private positionTimer: NodeJS.Timeout | undefined
@@ -120,7 +122,7 @@
     socket.on('error', () => socket.terminate())
     socket.on('close', () => this.requests.delete(socket))
     socket.on('message', data => this.onMessage(socket, data))
-    send(socket, this.positions())
+    this.send(socket, this.positions())
   }
 
   private onMessage (socket: WebSocket, data: RawData): void {
@@ -132,7 +134,7 @@
   }
 
   private confirm (socket: WebSocket, request: ConfirmationRequest): void {
-    send(socket, this.options.confirmations?.answer(request) ?? { kind: 'confirmed', id: request.id })
+    this.send(socket, this.options.confirmations?.answer(request) ?? { kind: 'confirmed', id: request.id })
   }
 
   /** Sends the requested copies that this VM has; the others follow once it knows the tables. */
@@ -142,7 +144,7 @@
       const answer = this.answerFor(table)
       if (answer === undefined) continue
       tables.delete(table)
-      send(socket, answer)
+      this.send(socket, answer)
     }
     if (tables.size === 0) this.requests.delete(socket)
   }
@@ -169,13 +171,18 @@
     const text = JSON.stringify(message)
     for (const socket of this.server?.clients ?? []) {
       if (socket.bufferedAmount > MAX_BACKLOG_BYTES) socket.terminate()
-      else if (socket.readyState === socket.OPEN) socket.send(text)
+      else if (socket.readyState === socket.OPEN) this.sendText(socket, text)
     }
   }
-}
 
-function send (socket: WebSocket, message: FeedMessage): void {
-  socket.send(JSON.stringify(message))
+  private send (socket: WebSocket, message: FeedMessage): void {
+    this.sendText(socket, JSON.stringify(message))
+  }
+
+  private sendText (socket: WebSocket, text: string): void {
+    this.sent += 1
+    socket.send(text)
+  }
 }
 
 function encodeHeld (held: HeldRecords | undefined): { readonly records: FeedRecords, readonly leftMs: Milliseconds } | undefined {
--- a/packages/daemon/src/core/feed/fleet.ts
+++ b/packages/daemon/src/core/feed/fleet.ts
@@ -87,6 +87,11 @@
     this.membership.close()
   }
 
+  /** Messages of the feed since the start. */
+  get messages (): { readonly received: number, readonly sent: number } {
+    return { received: this.follower.received, sent: this.server.sent }
+  }
+
   /** The state for the dump and metrics. */
   snapshot (): FleetSnapshot {
     return { vms: this.members.count, role: this.follower.role, follows: this.follower.followed, followers: this.server.followers }
--- a/packages/daemon/src/core/gateway/boundedOutput.ts
+++ b/packages/daemon/src/core/gateway/boundedOutput.ts
@@ -16,6 +16,8 @@
 export class BoundedOutput extends Writable {
   /** Lines dropped since the start; a failed write counts once. */
   dropped = 0
+  /** Writes since the start; one writes all lines that wait. */
+  writes = 0
   private backlog: Buffer[] = []
   private backlogBytes = 0
   private isWriting = false
@@ -45,6 +47,7 @@
     const bytes = Buffer.concat(this.backlog)
     this.backlog = []
     this.isWriting = true
+    this.writes += 1
     this.writer(bytes, (error, written) => this.onWritten(bytes, error, written))
   }
 
--- a/packages/daemon/src/core/gateway/eventLog.ts
+++ b/packages/daemon/src/core/gateway/eventLog.ts
@@ -38,6 +38,11 @@
     return this.output.dropped
   }
 
+  /** Writes to the output since the start. */
+  get writes (): number {
+    return this.output.writes
+  }
+
   /** Writes a line about one request, unless the rate limit is reached; only then are fields computed that a function gives. */
   logRequest (message: string, fields: LogFields | (() => LogFields)): void {
     this.startWindow()
--- a/packages/daemon/src/core/gateway/gateway.ts
+++ b/packages/daemon/src/core/gateway/gateway.ts
@@ -3,10 +3,11 @@
 import type { DaemonStatus } from '../../types/daemonStatus.js'
 import type { GatewaySettings } from '../../types/gatewaySettings.js'
 import { Drain } from './drain.js'
-import { createGatewayMetrics, tableReadersOf } from './gatewayMetrics.js'
+import { createGatewayMetrics } from './gatewayMetrics.js'
 import { GatewayParts, type GatewayDependencies } from './gatewayParts.js'
 import { StatusReport } from './statusReport.js'
 import { StopPlan } from './stopPlan.js'
+import { tableReadersOf } from './workCounters.js'
 
 /** How often attempts that wait for a slow caller report progress; short compared with the shortest stall timeout. */
 const PROGRESS_REPORT_INTERVAL_MS: Milliseconds = 50
@@ -43,13 +44,14 @@
 
   /** Starts reading the control store and serving requests. */
   async start (): Promise<void> {
-    const { services, supervisor, fleet, handover, eventLoopMonitor, eventLog: { logger } } = this.parts
+    const { services, supervisor, fleet, handover, eventLoopMonitor, workReport, eventLog: { logger } } = this.parts
     const { vmId, failureDomain } = this.settings
     this.progressTimer = setInterval(() => services.reportProgressOfWaiting(), PROGRESS_REPORT_INTERVAL_MS)
     for (const component of this.components()) await supervisor.add(component)
     fleet.start()
     handover?.start()
     eventLoopMonitor.start()
+    workReport.start()
     logger.info('started', { vm: vmId, failureDomain })
   }
 
@@ -106,6 +108,7 @@
     const { parts } = this
     clearInterval(this.progressTimer)
     parts.eventLoopMonitor.stop()
+    parts.workReport.stop()
     parts.handover?.stop()
     await parts.supervisor.stop()
     parts.controlState.close()
--- a/packages/daemon/src/core/gateway/gatewayMetrics.ts
+++ b/packages/daemon/src/core/gateway/gatewayMetrics.ts
@@ -1,6 +1,9 @@
-import type { TableReader } from '../control/tableReader.js'
 import { Metrics } from '../operators/metrics.js'
+import { processorMs } from '../supervision/workReport.js'
 import type { GatewayParts } from './gatewayParts.js'
+import { tableReadersOf } from './workCounters.js'
+
+const MS_PER_SECOND = 1000
 
 /** Creates the metrics of the daemon. The parts are read when the metrics are collected. */
 export function createGatewayMetrics (parts: () => GatewayParts, isReady: () => boolean): Metrics {
@@ -20,12 +23,10 @@
     fleet: () => parts().fleet.snapshot(),
     quotas: () => parts().quotas.counters,
     handover: () => parts().handover?.snapshot(),
+    processorSeconds: () => processorMs() / MS_PER_SECOND,
+    feedMessages: () => parts().fleet.messages,
+    logWrites: () => parts().eventLog.writes,
     storeReads: () => tableReadersOf(parts()).map(({ table, reads }) => ({ table, reads })),
     components: () => parts().supervisor.componentStates()
   })
 }
-
-/** The readers of the control store's tables. */
-export function tableReadersOf ({ controlState, fleetTable }: GatewayParts): readonly TableReader[] {
-  return [...controlState.readers, fleetTable.reader]
-}
--- a/packages/daemon/src/core/gateway/gatewayParts.ts
+++ b/packages/daemon/src/core/gateway/gatewayParts.ts
@@ -28,6 +28,7 @@
 import { EventLoopMonitor } from '../supervision/eventLoopMonitor.js'
 import { Supervisor } from '../supervision/supervisor.js'
 import { TickTimer } from '../supervision/tickTimer.js'
+import { WorkReport } from '../supervision/workReport.js'
 import { AdminServer } from './adminServer.js'
 import type { BoundedOutput } from './boundedOutput.js'
 import { CallLog } from './callLog.js'
@@ -39,6 +40,7 @@
 import { ReadinessServer } from './readinessServer.js'
 import { routingPolicyOf } from './routingDefaults.js'
 import type { StopPlan } from './stopPlan.js'
+import { workCountersOf } from './workCounters.js'
 
 const CONNECT_TIMEOUT_MS: Milliseconds = 500
 
@@ -91,6 +93,7 @@
   readonly adminServer: AdminServer
   readonly supervisor: Supervisor
   readonly eventLoopMonitor: EventLoopMonitor
+  readonly workReport: WorkReport
   /** Stalls of the event loop since the start. */
   stallCount = 0
 
@@ -131,6 +134,7 @@
     })
     this.supervisor = this.createSupervisor()
     this.eventLoopMonitor = EventLoopMonitor.create(clock, lengthMs => this.onStall(lengthMs))
+    this.workReport = WorkReport.create(clock, logger, () => workCountersOf(this))
   }
 
   static create (settings: GatewaySettings, dependencies: GatewayDependencies, host: GatewayHost): GatewayParts {
--- a/packages/daemon/src/core/operators/metrics.ts
+++ b/packages/daemon/src/core/operators/metrics.ts
@@ -32,6 +32,12 @@
   quotas (): QuotaCounters
   /** Undefined where calls are not handed over. */
   handover (): HandoverSnapshot | undefined
+  /** Processor time of the process since its start. */
+  processorSeconds (): number
+  /** Messages of the feed since the start. */
+  feedMessages (): { readonly received: number, readonly sent: number }
+  /** Writes to the log's output since the start. */
+  logWrites (): number
   /** Reads of the store since the start, by table. */
   storeReads (): ReadonlyArray<{ readonly table: string, readonly reads: number }>
   components (): readonly ComponentState[]
@@ -86,6 +92,10 @@
     this.addGauge('cowsliplead_cuts', 'Times since the start at which this VM reached no upstream', () => source.handover()?.cuts ?? 0)
     this.addOutcomes('cowsliplead_handed_over_calls_total', 'Calls handed to other VMs, by outcome', () => source.handover()?.sent.outcomes)
     this.addOutcomes('cowsliplead_taken_over_calls_total', 'Calls of other VMs, by outcome', () => source.handover()?.taken.outcomes)
+    this.addGauge('cowsliplead_processor_seconds', 'Processor time of the process since its start', () => source.processorSeconds())
+    this.addGauge('cowsliplead_feed_messages_received', 'Messages from the VMs that this one follows, since the start', () => source.feedMessages().received)
+    this.addGauge('cowsliplead_feed_messages_sent', 'Messages to the VMs that follow this one, since the start', () => source.feedMessages().sent)
+    this.addGauge('cowsliplead_log_writes', 'Writes to the output of the log since the start', () => source.logWrites())
     this.addStoreReads(() => source.storeReads())
     this.addRestarts(() => source.components())
   }
--- a/packages/daemon/src/types/tableConsumer.ts
+++ b/packages/daemon/src/types/tableConsumer.ts
@@ -1,3 +1,4 @@
+import type { Milliseconds } from '@cowsliplead/core/types/clock.js'
 import type { StoreEpoch, StoreFailure, TableRecord } from './controlStore.js'
 import type { HeldRecords } from './feedTable.js'
 
@@ -17,8 +18,11 @@
   onSnapshot (records: readonly TableRecord[]): void
   /** Changes in order, after a snapshot. */
   onChanges (records: readonly TableRecord[]): void
-  /** The store answers again after a failure. Called before the content of that answer is delivered. */
-  onRecovery (): void
+  /**
+   * The store answers again, this VM or one that it follows, after `outageMs` without an answer. Called before the content of
+   * that answer is delivered.
+   */
+  onRecovery (outageMs: Milliseconds): void
   /** The store was restored from a copy. */
   onRestore (restore: StoreRestore): void
   /** Records that the consumer keeps in force although the store lacks them since a restore. */
