Learn from other VMs what has changed while the store refuses this one

Cause: the source and the standby of the fleet follow nobody or each other. The others drop a source that is behind; the source itself never looks for one that is ahead. Further sources were used only where the age of keys is limited, and copies likewise.

Now every VM follows two further VMs while its upstreams are older than 2.5 s, and takes their copy where changes were missed. A copy is asked of a VM that is known to be ahead, once its position has come. What others have read does not end the outage of a VM that reads the store itself, so that its log does not say so twice a second.

--- a/packages/daemon/src/core/control/tableReader.ts
+++ b/packages/daemon/src/core/control/tableReader.ts
@@ -31,12 +31,12 @@
   readonly feed: ChangeFeed
   /** The store is not read while another VM has read the table within this time. */
   readonly maxFeedAgeMs: Milliseconds
-  /** Whether a VM that starts may take another one's copy of the table instead of reading it; false by default. */
-  readonly startsFromCopy?: boolean
   /**
-   * Receives the reads that were applied. The reader then also takes another VM's copy while the store does not answer this
-   * VM and changes were missed. Undefined if the age of the table is not limited.
+   * Whether this VM may take another one's copy of the table, when it starts and while the store does not answer it and changes
+   * were missed; false by default.
    */
+  readonly startsFromCopy?: boolean
+  /** Receives the reads that were applied. Undefined if the age of the table is not limited. */
   readonly confirmation?: ReadConfirmation | undefined
 }
 
@@ -78,8 +78,8 @@
 
   /** Whether this VM has missed changes and cannot read them from the store. */
   private get mayCatchUp (): boolean {
-    const { feed, table, confirmation } = this.options
-    return confirmation !== undefined && this.isFailing && this.position !== undefined && feed.isBehind(table, this.position)
+    const { feed, table, startsFromCopy } = this.options
+    return startsFromCopy === true && this.isFailing && this.position !== undefined && feed.isBehind(table, this.position)
   }
 
   /** See `FeedTable.position`. */
@@ -189,7 +189,7 @@
     if (this.position === undefined || changes.epoch !== this.position.epoch || changes.from > this.position.offset) return undefined
     if (changes.from + changes.records.length <= this.position.offset) return undefined
     return this.reportErrors(() => {
-      this.onAnswer()
+      this.onRelayedAnswer()
       return this.content.apply(changes)
     })
   }
@@ -200,7 +200,7 @@
     if (!this.needsCopy || (copy.ageMs > this.options.maxFeedAgeMs && !isNewer)) return
     if (this.position !== undefined && !isNewer) return
     this.reportErrors(() => {
-      this.onAnswer()
+      this.onRelayedAnswer()
       if (copy.held !== undefined) this.options.consumer.onHeldRecords?.(copy.held)
       this.content.replace(copy)
     })
@@ -216,6 +216,12 @@
     }
   }
 
+  /** The store has answered another VM. That does not end the outage of a VM that reads the store itself. */
+  private onRelayedAnswer (): void {
+    if (this.options.feed.isFollowing) this.onAnswer()
+    else this.lastAnswerAt = this.options.clock.now()
+  }
+
   private onAnswer (): void {
     const now = this.options.clock.now()
     const outageMs = now - (this.lastAnswerAt ?? now)
--- a/packages/daemon/src/core/feed/additionalSources.ts
+++ b/packages/daemon/src/core/feed/additionalSources.ts
@@ -1,7 +1,7 @@
 import type { Milliseconds } from '@cowsliplead/core/types/clock.js'
 import type { RandomSource } from '@cowsliplead/core/types/randomSource.js'
 
-/** A VM whose configuration is older follows further VMs: usual ages are below this even after two relays. */
+/** A VM whose tables are older follows further VMs: usual ages are below this even after two relays. */
 const OUTDATED_AGE_MS: Milliseconds = 2500
 
 /** VMs that are followed in addition. */
@@ -12,7 +12,7 @@
 const FIRST_TRY_MS: Milliseconds = 1000
 const MAX_TRY_MS: Milliseconds = 8000
 
-/** Chooses VMs to follow in addition while those that a VM follows by its role do not keep its configuration recent. */
+/** Chooses VMs to follow in addition while those that a VM follows by its role do not keep its tables recent. */
 export class AdditionalSources {
   private current: readonly string[] = []
   /** Undefined before the first update. */
--- a/packages/daemon/src/core/feed/changeFeed.ts
+++ b/packages/daemon/src/core/feed/changeFeed.ts
@@ -63,9 +63,9 @@
     this.tables.set(table.table, table)
   }
 
-  /** The tables that this VM may take from another one's copy. */
-  neededCopies (): TableName[] {
-    return [...this.tables.values()].filter(({ needsCopy }) => needsCopy).map(({ table }) => table)
+  /** The tables that this VM may take from the copy of another one, as far as that is known to be ahead. */
+  neededCopies (vmId: string): TableName[] {
+    return [...this.tables.values()].filter(table => table.needsCopy && this.mayBeAhead(vmId, table)).map(({ table }) => table)
   }
 
   /** Publishes how far this VM has read a table, with the changes that were new. */
@@ -141,6 +141,12 @@
     return this.clock.now() - (this.followedPositions.get(vmId)?.get(table)?.readAt ?? -Infinity)
   }
 
+  /** Time since the read that this VM's copy of the table includes; undefined while it has no copy. */
+  copyAgeMs (table: TableName): Milliseconds | undefined {
+    const newest = this.newestPosition(table)
+    return newest === undefined ? undefined : this.ageOfRead(newest)
+  }
+
   /** Time since this VM last read the table itself; infinite if it never did. */
   ownAgeMs (table: TableName): Milliseconds {
     return this.clock.now() - (this.ownPositions.get(table)?.readAt ?? -Infinity)
@@ -213,6 +219,12 @@
     return this.isDependent && table.position === undefined && !this.declined.has(table.table)
   }
 
+  /** Without a copy of its own, this VM takes any. */
+  private mayBeAhead (vmId: string, { table, position }: FeedTable): boolean {
+    const known = this.followedPositions.get(vmId)?.get(table)
+    return position === undefined || (known !== undefined && isAhead(known, position))
+  }
+
   private newestPosition (table: TableName): ReadPosition | undefined {
     const reached = this.tables.get(table)?.position
     if (reached === undefined) return undefined
--- a/packages/daemon/src/core/feed/feedConnection.ts
+++ b/packages/daemon/src/core/feed/feedConnection.ts
@@ -19,7 +19,7 @@
 /** Receives the events of a connection. */
 export interface FeedConnectionObserver {
   /** What this VM has to ask a VM that it follows. */
-  requests (): FeedRequest[]
+  requests (followed: FleetMember): FeedRequest[]
   onMessage (followed: FleetMember, message: FeedMessage): void
   /** Called at most once, and not after `close`. */
   onDisconnect (followed: FleetMember, reason: DisconnectReason): void
@@ -50,7 +50,7 @@
   /** Asks the followed VM, unless the connection is not open. */
   sendRequests (): void {
     if (this.socket.readyState !== WebSocket.OPEN) return
-    for (const request of this.observer.requests()) this.socket.send(JSON.stringify(request))
+    for (const request of this.observer.requests(this.followed)) this.socket.send(JSON.stringify(request))
   }
 
   /** Closes the connection without notifying the observer. */
--- a/packages/daemon/src/core/feed/feedFollower.ts
+++ b/packages/daemon/src/core/feed/feedFollower.ts
@@ -96,9 +96,9 @@
     this.updateRole(members.role(isUp))
   }
 
-  requests (): FeedRequest[] {
+  requests ({ vmId }: FleetMember): FeedRequest[] {
     const { feed, confirmations } = this.options
-    const tables = feed.neededCopies()
+    const tables = feed.neededCopies(vmId)
     const requests: FeedRequest[] = tables.length === 0 ? [] : [{ kind: 'copies', tables }]
     return confirmations === undefined ? requests : [...requests, confirmations.request()]
   }
@@ -137,25 +137,23 @@
       if (this.isBehind(vmId)) this.recordFailure(vmId, 'behind')
     }
     this.reconcile()
-    this.checkAge()
-  }
-
-  /** Asks the followed VMs how old their configuration is, where that is limited. */
-  private checkAge (): void {
-    const { confirmations } = this.options
-    if (confirmations === undefined) return
     for (const connection of this.connections.values()) connection.sendRequests()
-    confirmations.age.isConfirmed()
+    this.options.confirmations?.age.isConfirmed()
   }
 
-  /** The VMs that this one follows by its role, and further ones while its configuration is too old. */
+  /** The VMs that this one follows by its role, and further ones while its tables are too old. */
   private membersToFollow (isUp: LivenessCheck): FleetMember[] {
-    const { members, confirmations, clock } = this.options
+    const { members, clock } = this.options
     const followed = members.membersToFollow(isUp)
-    if (confirmations === undefined) return [...followed]
     const others = members.list().map(({ vmId }) => vmId).filter(vmId => vmId !== this.options.vmId && isUp(vmId) && !followed.some(member => member.vmId === vmId))
-    const additionalSources = this.additionalSources.update(confirmations.age.ageMs, others, clock.now()).flatMap(vmId => members.get(vmId) ?? [])
-    return [...followed, ...additionalSources]
+    const additionalSources = this.additionalSources.update(this.oldestAgeMs(), others, clock.now()).filter(vmId => others.includes(vmId))
+    return [...followed, ...additionalSources.flatMap(vmId => members.get(vmId) ?? [])]
+  }
+
+  /** Age of the oldest table that a cut from the store makes harmful: upstreams that have left, and keys where their age is limited. */
+  private oldestAgeMs (): Milliseconds {
+    const { feed, confirmations } = this.options
+    return Math.max(feed.copyAgeMs('upstreams') ?? 0, confirmations?.age.ageMs ?? 0)
   }
 
   /** Whether this VM reaches the store and the followed one does not. */
