Do not keep upstreams that left while only this VM was cut off from the store

Cause: after an outage, entries that are missing are kept for 2 s, since they lapse while the store is down and live upstreams write them again. A VM cannot tell an outage of the store from its own. Before that it lost up to 1.8 s with a long poll that the cut had swallowed.

Now positions tell for how long the store has answered reads without a pause of 2.5 s (readForMs, optional, so that daemons of earlier versions understand each other). If that reaches back before this VM's outage, missing entries are removed. VMs whose backoff runs are tried again when the store answers. A reader that fails asks for an answer at once instead of a long poll.

A restore from a copy is not affected: its hold is not ended by others' reads. One expectation of changeFeed.test.ts gained the new field.

--- a/packages/core/src/core/membership/upstreamDirectory.ts
+++ b/packages/core/src/core/membership/upstreamDirectory.ts
@@ -68,6 +68,11 @@
     this.holdUntil = now + this.options.renewalMs
   }
 
+  /** Ends the renewal period: entries that are missing have been removed. */
+  endRenewal (): void {
+    this.holdUntil = -Infinity
+  }
+
   /** Handles a written entry. */
   put (entry: UpstreamEntry, now: Milliseconds): DirectoryChange {
     if (this.isOutdated(entry)) return 'ignored'
--- a/packages/daemon/__tests__/changeFeed.test.ts
+++ b/packages/daemon/__tests__/changeFeed.test.ts
@@ -45,7 +45,7 @@
     feed.setRole('relay')
     feed.receivePositions('source', { [TABLE]: { epoch: 0, end: 5, ageMs: 300 } })
     clock.advance(400)
-    expect(feed.positions()).to.deep.equal({ [TABLE]: { epoch: 0, end: 5, ageMs: 700 } })
+    expect(feed.positions()).to.deep.equal({ [TABLE]: { epoch: 0, end: 5, ageMs: 700, readForMs: 0 } })
     feed.receivePositions('follower', feed.positions())
     clock.advance(400)
     expect(feed.covers(TABLE, REACHED, MAX_AGE_MS)).to.equal(false)
@@ -94,4 +94,19 @@
     feed.receivePositions('source', { [TABLE]: { epoch: 0, end: 5, ageMs: 0 } })
     expect(feed.covers(TABLE, REACHED, MAX_AGE_MS)).to.equal(false)
   })
+
+  // Guards against an outage of one VM that counts as one of the store, and the other way round.
+  it('knows since when the table was read, by this VM or by others, without a long pause', () => {
+    feed.publish(TABLE, REACHED)
+    const firstReadAt = clock.now()
+    clock.advance(12_000)
+    expect(feed.wasReadSince(TABLE, firstReadAt)).to.equal(true)
+    feed.publish(TABLE, REACHED)
+    expect(feed.wasReadSince(TABLE, firstReadAt)).to.equal(false)
+    feed.receivePositions('other', { [TABLE]: { epoch: 0, end: 5, ageMs: 300, readForMs: 9000 } })
+    expect(feed.wasReadSince(TABLE, firstReadAt)).to.equal(false)
+    feed.receivePositions('another', { [TABLE]: { epoch: 0, end: 5, ageMs: 300, readForMs: 12_000 } })
+    expect(feed.wasReadSince(TABLE, firstReadAt)).to.equal(true)
+    expect(feed.positions()[TABLE]).to.include({ readForMs: 12_300 })
+  })
 })
--- a/packages/daemon/__tests__/feed.test.ts
+++ b/packages/daemon/__tests__/feed.test.ts
@@ -67,7 +67,7 @@
   readonly fleet: Fleet
   private readonly components: ReadonlyArray<{ start (fail: (error: Error) => void): Promise<void>, stop (): Promise<void> }>
 
-  constructor (vmId: string, shared: MemoryStore, { startsFromCopy = false } = {}) {
+  constructor (readonly vmId: string, shared: MemoryStore, { startsFromCopy = false } = {}) {
     this.store = new VmStore(shared)
     const { store } = this
     const clock = MonotonicClock.create()
@@ -292,6 +292,29 @@
   })
 })
 
+describe('a VM that could not reach the one that it follows', () => {
+  // Guards against VMs that come back from a cut and hear nothing of the others for as long as the cut has lasted.
+  it('connects to it at once when the store answers again', async () => {
+    const shared = MemoryStore.create()
+    const vms = ['vm0', 'vm1'].map(vmId => new Vm(vmId, shared))
+    await Promise.all(vms.map(vm => vm.start()))
+    try {
+      await waitUntil(() => vms.some(vm => vm.follows === 1))
+      const [standby, source] = (vms[0] as Vm).follows === 1 ? vms as [Vm, Vm] : [...vms].reverse() as [Vm, Vm]
+      await source.fleet.server.stop()
+      await waitUntil(() => standby.follows === 0)
+      await source.fleet.server.start(error => expect.fail(error.message))
+      shared.records('fleet').push({ key: `member/${source.vmId}`, value: Buffer.from(JSON.stringify({ feedAddress: source.fleet.server.address, failureDomain: 'domain0' })) })
+      await sleep(600)
+      expect(standby.follows).to.equal(0)
+      standby.fleet.retryLost()
+      expect(standby.follows).to.equal(1)
+    } finally {
+      await Promise.all(vms.map(vm => vm.stop()))
+    }
+  })
+})
+
 describe('a VM whose member record was removed', () => {
   // Guards against a VM that no other VM can follow because its record is missing.
   it('announces itself again', async () => {
--- a/packages/daemon/src/core/control/controlState.ts
+++ b/packages/daemon/src/core/control/controlState.ts
@@ -32,6 +32,9 @@
 
 const MIN_TIMER_MS: Milliseconds = 1
 
+/** How often it is checked, while entries are missing after an outage, whether other VMs have seen one too. */
+const OUTAGE_CHECK_INTERVAL_MS: Milliseconds = 100
+
 /** A configuration may have thousands of entries. */
 const MAX_LOGGED_ENTRIES = 20
 
@@ -55,6 +58,8 @@
   readonly feed: ChangeFeed
   /** Undefined if the age of keys is not limited. */
   readonly keyConfirmation?: KeyConfirmation | undefined
+  /** Called when the store answers again after an outage, this VM or one that it follows. */
+  readonly onStoreContact?: () => void
   /** Called after a configuration has come into force. */
   readonly onConfig: () => void
 }
@@ -69,6 +74,8 @@
   unreadableConfigs = 0
   private hasReadUpstreams = false
   private expiryTimer: NodeJS.Timeout | undefined
+  /** When the last outage began, as this VM saw it; undefined once it is known whether other VMs have seen it. */
+  private outageStartedAt: Milliseconds | undefined
 
   private constructor (private readonly options: ControlStateOptions) {
     const { store, clock, renewalMs, feed, keyConfirmation } = options
@@ -157,11 +164,12 @@
       isOutdated: record => this.isOutdatedUpstream(record),
       onRecovery: outageMs => {
         outageLog.onRecovery(outageMs)
-        this.directory.onStoreRecovered(clock.now())
+        this.onUpstreamsRecovery(outageMs)
       },
       // Upstreams that registered after the copy write their entries again.
       onRestore: restore => {
         outageLog.onRestore(restore)
+        this.outageStartedAt = undefined
         this.directory.onStoreRecovered(clock.now())
       },
       onSnapshot: records => this.replaceUpstreams(records),
@@ -173,6 +181,21 @@
     }
   }
 
+  /** Entries may have lapsed during an outage of the store, but not while only this VM was cut off from it. */
+  private onUpstreamsRecovery (outageMs: Milliseconds): void {
+    const now = this.options.clock.now()
+    this.outageStartedAt = now - outageMs
+    this.directory.onStoreRecovered(now)
+    this.options.onStoreContact?.()
+  }
+
+  /** Other VMs' reads may show at once or somewhat later that the store was up. */
+  private checkOutage (): void {
+    if (this.outageStartedAt === undefined || !this.options.feed.wasReadSince('upstreams', this.outageStartedAt)) return
+    this.outageStartedAt = undefined
+    this.directory.endRenewal()
+  }
+
   private isOutdatedConfig (record: TableRecord): boolean {
     const { store, services: { config: inForce } } = this.options
     if (record.key !== CONFIGURATION_KEY || inForce === undefined) return false
@@ -217,6 +240,7 @@
       if (entry !== undefined) entries.push(entry)
       else this.logUnusableEntry(record)
     }
+    this.checkOutage()
     const removed = this.directory.replaceAll(entries, clock.now())
     this.hasReadUpstreams = true
     logger.info('upstreams read', { count: entries.length, removed, kept: this.directory.missing() })
@@ -242,6 +266,7 @@
 
   private updateUpstreams (): void {
     const { clock, services, logger } = this.options
+    this.checkOutage()
     const expired = this.directory.expire(clock.now())
     if (expired.length > 0) logger.info('upstreams removed: entries not renewed in time', { upstreams: expired })
     services.setUpstreams(this.directory.list())
@@ -254,7 +279,8 @@
     const expiryAt = this.directory.nextExpiryAt()
     if (expiryAt === undefined) return
     // A timer may fire slightly early by the clock; nothing has expired then, and it is set again.
-    const delayMs = Math.max(Math.ceil(expiryAt - this.options.clock.now()), MIN_TIMER_MS)
+    const leftMs = Math.max(Math.ceil(expiryAt - this.options.clock.now()), MIN_TIMER_MS)
+    const delayMs = this.outageStartedAt === undefined ? leftMs : Math.min(leftMs, OUTAGE_CHECK_INTERVAL_MS)
     this.expiryTimer = setTimeout(() => this.updateUpstreams(), delayMs)
   }
 }
--- a/packages/daemon/src/core/control/tableReader.ts
+++ b/packages/daemon/src/core/control/tableReader.ts
@@ -122,8 +122,8 @@
     while (!signal.aborted) {
       const wasCovered = await this.waitWhileCovered(signal)
       if (signal.aborted) return
-      // The first read after the feed covered the table must not wait: this VM and its followers may be behind.
-      const waitMs = wasCovered ? 0 : this.options.waitMs
+      // The first read after the feed covered the table, or after a failure, must not wait: this VM and its followers may be behind.
+      const waitMs = wasCovered || this.isFailing ? 0 : this.options.waitMs
       this.reads += 1
       const failure = this.position === undefined ? await this.readAll(signal) : await this.readChanges(this.position, waitMs, signal)
       if (signal.aborted) return
--- a/packages/daemon/src/core/feed/changeFeed.ts
+++ b/packages/daemon/src/core/feed/changeFeed.ts
@@ -4,6 +4,7 @@
 import type { FeedPosition } from '../../types/feedMessage.js'
 import type { FeedPublisher, FeedTable, OffsetChanges, TableCopy } from '../../types/feedTable.js'
 import { includes, isAhead } from '../../utils/tablePosition.js'
+import { mergePeriods, type ReadPeriod } from './readPeriod.js'
 
 /** How far a table was read, by this VM or another one. */
 interface ReadPosition extends TablePosition {
@@ -36,6 +37,8 @@
   private readonly ownPositions = new Map<TableName, ReadPosition>()
   /** Positions by id of the followed VM. */
   private readonly followedPositions = new Map<string, Map<TableName, ReadPosition>>()
+  /** The latest period in which each table was read, by this VM or those that it follows. */
+  private readonly readPeriods = new Map<TableName, ReadPeriod>()
   private readonly tables = new Map<TableName, FeedTable>()
   private readonly declined = new Set<TableName>()
   private readonly waiters = new Set<() => void>()
@@ -70,7 +73,9 @@
 
   /** Publishes how far this VM has read a table, with the changes that were new. */
   publish (table: TableName, position: TablePosition, changes?: OffsetChanges): void {
-    this.ownPositions.set(table, { ...position, readAt: this.clock.now() })
+    const now = this.clock.now()
+    this.ownPositions.set(table, { ...position, readAt: now })
+    this.addPeriod(table, { from: now, to: now })
     if (changes !== undefined && changes.records.length > 0) this.publisher?.onChanges(table, changes)
     this.publisher?.onPosition()
   }
@@ -80,7 +85,7 @@
     const positions: Partial<Record<TableName, FeedPosition>> = {}
     for (const table of this.tables.keys()) {
       const newest = this.newestPosition(table)
-      if (newest !== undefined) positions[table] = { epoch: newest.epoch, end: newest.offset, ageMs: this.ageOfRead(newest) }
+      if (newest !== undefined) positions[table] = { epoch: newest.epoch, end: newest.offset, ageMs: this.ageOfRead(newest), readForMs: this.readForMs(table, newest) }
     }
     return positions
   }
@@ -117,8 +122,10 @@
     const now = this.clock.now()
     const known = this.followedPositions.get(vmId) ?? new Map<TableName, ReadPosition>()
     const readAtBefore = this.newestReads()
-    for (const [table, { epoch, end, ageMs }] of Object.entries(positions) as Array<[TableName, FeedPosition]>) {
-      known.set(table, { epoch, offset: end, readAt: now - ageMs })
+    for (const [table, { epoch, end, ageMs, readForMs = 0 }] of Object.entries(positions) as Array<[TableName, FeedPosition]>) {
+      const readAt = now - ageMs
+      known.set(table, { epoch, offset: end, readAt })
+      this.addPeriod(table, { from: readAt - readForMs, to: readAt })
     }
     this.followedPositions.set(vmId, known)
     this.notify()
@@ -152,6 +159,12 @@
     return this.clock.now() - (this.ownPositions.get(table)?.readAt ?? -Infinity)
   }
 
+  /** Whether the store is known to have answered reads of the table since then, other VMs' at least. */
+  wasReadSince (table: TableName, since: Milliseconds): boolean {
+    const period = this.readPeriods.get(table)
+    return period !== undefined && period.from <= since
+  }
+
   /** Whether a followed VM knows of changes to the table beyond `reached`. */
   isBehind (table: TableName, reached: TablePosition): boolean {
     return this.positionsOf(table).some(position => isAhead(position, reached))
@@ -242,6 +255,14 @@
     return [...this.followedPositions.values()].flatMap(positions => positions.get(table) ?? [])
   }
 
+  private addPeriod (table: TableName, period: ReadPeriod): void {
+    this.readPeriods.set(table, mergePeriods(this.readPeriods.get(table), period))
+  }
+
+  private readForMs (table: TableName, { readAt }: ReadPosition): Milliseconds {
+    return Math.max(0, Math.round(readAt - (this.readPeriods.get(table)?.from ?? readAt)))
+  }
+
   private ageOfRead ({ readAt }: ReadPosition): Milliseconds {
     return Math.max(0, Math.round(this.clock.now() - readAt))
   }
--- a/packages/daemon/src/core/feed/feedFollower.ts
+++ b/packages/daemon/src/core/feed/feedFollower.ts
@@ -96,6 +96,13 @@
     this.updateRole(members.role(isUp))
   }
 
+  /** Forgets the backoff of VMs that could not be reached: this VM has been cut off and is no longer. */
+  retryLost (): void {
+    const now = this.options.clock.now()
+    for (const [vmId, outage] of this.outages) this.outages.set(vmId, { ...outage, retryAt: Math.min(outage.retryAt, now) })
+    this.reconcile()
+  }
+
   requests ({ vmId }: FleetMember): FeedRequest[] {
     const { feed, confirmations } = this.options
     const tables = feed.neededCopies(vmId)
--- a/packages/daemon/src/core/feed/fleet.ts
+++ b/packages/daemon/src/core/feed/fleet.ts
@@ -82,6 +82,11 @@
     this.follower.start()
   }
 
+  /** Connects to VMs at once that could not be reached before. */
+  retryLost (): void {
+    this.follower.retryLost()
+  }
+
   close (): void {
     this.follower.close()
     this.membership.close()
--- a/packages/daemon/src/core/gateway/gatewayParts.ts
+++ b/packages/daemon/src/core/gateway/gatewayParts.ts
@@ -114,7 +114,9 @@
     this.fleet = this.createFleet(members)
     const { feed, membership } = this.fleet
     this.controlState = ControlState.create({
-      store, clock, services: this.services, logger, feed, keyConfirmation: this.keyConfirmation, renewalMs: settings.renewalMs, onConfig: () => this.callerServer.applyLimits()
+      store, clock, services: this.services, logger, feed, keyConfirmation: this.keyConfirmation, renewalMs: settings.renewalMs,
+      onStoreContact: () => this.fleet.retryLost(),
+      onConfig: () => this.callerServer.applyLimits()
     })
     this.policyRestorer = this.createPolicyRestorer()
     const onDocument = (document: PolicyDocument): void => this.services.setPolicyDocument(document)
--- a/packages/daemon/src/types/feedMessage.ts
+++ b/packages/daemon/src/types/feedMessage.ts
@@ -10,7 +10,9 @@
   /** Offset of the next change. */
   end: z.number().int().nonnegative(),
   /** Time since the store last answered a read of the table, in milliseconds. */
-  ageMs: z.number().nonnegative()
+  ageMs: z.number().nonnegative(),
+  /** Time before that in which the store answered reads without interruption; not sent by daemons of earlier versions. */
+  readForMs: z.number().nonnegative().optional()
 })
 
 const REQUEST_ID = z.number().int().nonnegative()
