Do not hide a cut from the store behind what other VMs have read

Cause: a source that the store refuses passed on the positions of the VMs that it follows in addition. It looked recent, so the others did not replace it, and nobody read the store more often than its age limit.

Positions of additional sources serve the VM itself and are not passed on.

--- a/packages/daemon/__tests__/changeFeed.test.ts
+++ b/packages/daemon/__tests__/changeFeed.test.ts
@@ -95,6 +95,16 @@
     expect(feed.covers(TABLE, REACHED, MAX_AGE_MS)).to.equal(false)
   })
 
+  // Guards against a source that is cut off from the store, seems to read it, and so is not replaced.
+  it('does not pass on what it follows only because the store does not answer', () => {
+    feed.publish(TABLE, REACHED)
+    clock.advance(5000)
+    feed.setAdditionalSources(new Set(['other']))
+    feed.receivePositions('other', { [TABLE]: { epoch: 0, end: 5, ageMs: 100, readForMs: 0 } })
+    expect(feed.copyAgeMs(TABLE)).to.equal(100)
+    expect(feed.positions()[TABLE]?.ageMs).to.equal(5000)
+  })
+
   // Guards against an outage of one VM that counts as one of the store, and the other way round.
   it('knows since when the table was read, by this VM or by others, without a long pause', () => {
     feed.publish(TABLE, REACHED)
--- a/packages/daemon/src/core/feed/changeFeed.ts
+++ b/packages/daemon/src/core/feed/changeFeed.ts
@@ -37,6 +37,8 @@
   private readonly ownPositions = new Map<TableName, ReadPosition>()
   /** Positions by id of the followed VM. */
   private readonly followedPositions = new Map<string, Map<TableName, ReadPosition>>()
+  /** Followed VMs whose reads are not passed on. */
+  private additionalSources: ReadonlySet<string> = new Set()
   /** The latest period in which each table was read, by this VM or those that it follows. */
   private readonly readPeriods = new Map<TableName, ReadPeriod>()
   private readonly tables = new Map<TableName, FeedTable>()
@@ -66,6 +68,14 @@
     this.tables.set(table.table, table)
   }
 
+  /**
+   * Sets the VMs that this one follows only because it does not reach the store. Passed on, their reads would hide that from the
+   * VMs that follow this one, and none of them would take its place.
+   */
+  setAdditionalSources (vmIds: ReadonlySet<string>): void {
+    this.additionalSources = vmIds
+  }
+
   /** The tables that this VM may take from the copy of another one, as far as that is known to be ahead. */
   neededCopies (vmId: string): TableName[] {
     return [...this.tables.values()].filter(table => table.needsCopy && this.mayBeAhead(vmId, table)).map(({ table }) => table)
@@ -150,7 +160,7 @@
 
   /** Time since the read that this VM's copy of the table includes; undefined while it has no copy. */
   copyAgeMs (table: TableName): Milliseconds | undefined {
-    const newest = this.newestPosition(table)
+    const newest = this.newestPosition(table, this.positionsOf(table))
     return newest === undefined ? undefined : this.ageOfRead(newest)
   }
 
@@ -238,11 +248,12 @@
     return position === undefined || (known !== undefined && isAhead(known, position))
   }
 
-  private newestPosition (table: TableName): ReadPosition | undefined {
+  /** The newest read that this VM's copy includes, of its own and of those `followed` that are passed on. */
+  private newestPosition (table: TableName, followed = this.passedOnPositionsOf(table)): ReadPosition | undefined {
     const reached = this.tables.get(table)?.position
     if (reached === undefined) return undefined
     const own = this.ownPositions.get(table)
-    const known = [...this.positionsOf(table), ...own === undefined ? [] : [own]].filter(position => includes(reached, position))
+    const known = [...followed, ...own === undefined ? [] : [own]].filter(position => includes(reached, position))
     return known.reduce<ReadPosition | undefined>((newest, each) => newest === undefined || each.readAt > newest.readAt ? each : newest, undefined)
   }
 
@@ -251,6 +262,10 @@
     return [...this.tables.keys()].map(table => this.newestPosition(table)?.readAt ?? -Infinity)
   }
 
+  private passedOnPositionsOf (table: TableName): ReadPosition[] {
+    return [...this.followedPositions].flatMap(([vmId, positions]) => this.additionalSources.has(vmId) ? [] : positions.get(table) ?? [])
+  }
+
   private positionsOf (table: TableName): ReadPosition[] {
     return [...this.followedPositions.values()].flatMap(positions => positions.get(table) ?? [])
   }
--- a/packages/daemon/src/core/feed/feedFollower.ts
+++ b/packages/daemon/src/core/feed/feedFollower.ts
@@ -154,6 +154,7 @@
     const followed = members.membersToFollow(isUp)
     const others = members.list().map(({ vmId }) => vmId).filter(vmId => vmId !== this.options.vmId && isUp(vmId) && !followed.some(member => member.vmId === vmId))
     const additionalSources = this.additionalSources.update(this.oldestAgeMs(), others, clock.now()).filter(vmId => others.includes(vmId))
+    this.options.feed.setAdditionalSources(new Set(additionalSources))
     return [...followed, ...additionalSources.flatMap(vmId => members.get(vmId) ?? [])]
   }
 
