Bound what the bodies of all callers' requests take together

What happened: clients sent many bodies that stop just short of their end; each was held, up to 256 KB (twice that in its buffer), for as long as its request may take, on any number of connections, and the process ran out of memory. Bodies in chunks of one byte took all of the processor's time instead: each chunk is handled on its own.

Cause: each body had a limit, all together had none, and framing counted for nothing.

A budget of an eighth of the machine's memory (new settings memoryMb and maxFds, from the platform's) counts what bodies hold from their first byte to their response, and 128 bytes a chunk until they have ended. Beyond it the largest body that has not ended is given up: refused as not run (new code 120, memoryFull, 503) if nothing of it was passed on. Its connection is closed at once if it consists mostly of chunks, as the refusal would not end what is read. Ordinary requests need little and end soon; a single request within the limits is served whatever it takes. A small first chunk no longer holds the 64 KB among which it came.

--- a/packages/core/src/types/resultCode.ts
+++ b/packages/core/src/types/resultCode.ts
@@ -35,6 +35,7 @@
   unknownKey: code(117, 'unknownKey', 'notRun', 'The request has no key, or one that no customer has.'),
   keysUnconfirmed: code(118, 'keysUnconfirmed', 'notRun', 'The VM cannot show that its list of keys is recent enough.'),
   overQuota: code(119, 'overQuota', 'notRun', 'The customer has used up its quota.'),
+  memoryFull: code(120, 'memoryFull', 'notRun', 'The VM has no memory left for the body of the request.'),
 
   upstreamFailed: code(200, 'upstreamFailed', 'outcomeUnknown', 'The upstream failed after the call was sent.'),
   deadlineExceeded: code(201, 'deadlineExceeded', 'outcomeUnknown', 'The deadline passed after the call was sent.'),
--- a/packages/daemon/__tests__/endlessPipelines.test.ts
+++ b/packages/daemon/__tests__/endlessPipelines.test.ts
@@ -10,6 +10,8 @@
 import type { ServiceForwarder } from '../src/core/upstreams/serviceForwarder.js'
 import { sleep } from '../src/utils/sleep.js'
 import { portOf, reply, Rig, throwError } from './harness.js'
+import { BodyBudget } from '../src/core/overload/bodyBudget.js'
+import { DEFAULT_MACHINE_LIMITS } from '../src/types/machineLimits.js'
 
 const GET = 'GET /permits/1 HTTP/1.1\r\nHost: 127.0.0.1\r\n\r\n'
 const WAIT_MS = 4000
@@ -33,7 +35,7 @@
     const forwarder = { submit: () => void submitted++, cancel: () => {} } as unknown as ServiceForwarder
     const kind = { name: 'lookup', deadlineMs: WAIT_MS } as RequestKind
     const proxy = Proxy.create({
-      clock: MonotonicClock.create(), ids: RequestIds.create('vm0'), dialect: ProductDialect.create(), bodyTimeoutMs: WAIT_MS,
+      clock: MonotonicClock.create(), ids: RequestIds.create('vm0'), dialect: ProductDialect.create(), bodyTimeoutMs: WAIT_MS, bodyBudget: BodyBudget.create(DEFAULT_MACHINE_LIMITS),
       route: () => ({ forwarder, kind, hidesCredentials: false }), admit: () => () => {}, stopPlan: () => undefined, onError: throwError,
       onRefused: (_id, code) => void refused.push(code)
     })
--- a/packages/daemon/__tests__/leavingCallers.test.ts
+++ b/packages/daemon/__tests__/leavingCallers.test.ts
@@ -11,6 +11,8 @@
 import { sleep } from '../src/utils/sleep.js'
 import { call, createSettings, portOf, reply, Rig, throwError, waitUntil } from './harness.js'
 import { PipeliningCaller } from './pipeliningCaller.js'
+import { BodyBudget } from '../src/core/overload/bodyBudget.js'
+import { DEFAULT_MACHINE_LIMITS } from '../src/types/machineLimits.js'
 
 const KIND: RequestKind = { name: 'lookup', weight: 1, idempotent: true, deadlineMs: 5000, cancellable: true, hedgeable: false }
 /** Longer than what is held for a caller that pipelines. */
@@ -178,6 +180,7 @@
     route: () => target,
     admit,
     bodyTimeoutMs: 1000,
+    bodyBudget: BodyBudget.create(DEFAULT_MACHINE_LIMITS),
     stopPlan: () => undefined,
     onRefused: () => {},
     onError: throwError
--- a/packages/daemon/__tests__/transfer.test.ts
+++ b/packages/daemon/__tests__/transfer.test.ts
@@ -13,6 +13,8 @@
 import { responseHeaders } from '../src/utils/headers.js'
 import { call, open, portOf, reply, throwError, waitUntil } from './harness.js'
 import { PipeliningCaller } from './pipeliningCaller.js'
+import { BodyBudget } from '../src/core/overload/bodyBudget.js'
+import { DEFAULT_MACHINE_LIMITS } from '../src/types/machineLimits.js'
 
 const LARGE_BODY = Buffer.alloc(600_000, 'x')
 
@@ -57,9 +59,11 @@
     const front = await listen((request, response) => {
       const sink = CallerSink.create(response, { requestId: 'id', dialect, closesConnection: () => false, exchange: pipelines.enter(response) })
       const arrivedAt = clock.now()
-      readBody(request, {
+      readBody(request, response, {
         timeoutMs: 1000,
         maxBytes: Infinity,
+        budget: BodyBudget.create(DEFAULT_MACHINE_LIMITS),
+        onEvicted: () => {},
         onBody: body => sender.send({ request, response, sink, requestId: 'id', arrivedAt, deadlineAt: arrivedAt + 1000, body }, refusal => sink.sendError('noUpstream', refusal)),
         onTimeout: () => {},
         onTooLarge: () => {},
--- a/packages/daemon/src/core/callers/proxy.ts
+++ b/packages/daemon/src/core/callers/proxy.ts
@@ -17,10 +17,14 @@
 import { readBody, type RequestBody } from './requestBody.js'
 import type { RequestIds } from './requestIds.js'
 import type { StopPlan } from '../gateway/stopPlan.js'
+import type { BodyBudget } from '../overload/bodyBudget.js'
 
 /** VMs that have lost contact ask others for the age of their keys twice a second. */
 const UNCONFIRMED_RETRY_MS: Milliseconds = 500
 
+/** By then, bodies that were being received have mostly ended. */
+export const MEMORY_FULL_RETRY_MS: Milliseconds = 500
+
 /** Options of the proxy. */
 export interface ProxyOptions {
   readonly clock: Clock
@@ -34,6 +38,7 @@
   readonly bodyTimeoutMs: Milliseconds
   /** Size limit of request bodies; unlimited if absent. */
   readonly maxBodyBytes?: () => number
+  readonly bodyBudget: BodyBudget
   /** Set while the daemon is stopping: callers must then use a new connection for their next request. */
   readonly stopPlan: () => StopPlan | undefined
   /** Called when a request that has a service is refused without being submitted to it, or cut off because of its body. */
@@ -147,15 +152,20 @@
   }
 
   private read (routed: RoutedRequest): void {
-    const { request, sink, deadlineAt, readBefore } = routed
+    const { request, response, sink, requestId, deadlineAt, readBefore } = routed
     if (readBefore !== undefined) return this.trySubmit(routed, readBefore)
-    readBody(request, {
+    readBody(request, response, {
       timeoutMs: Math.min(this.options.bodyTimeoutMs, Math.max(deadlineAt - this.options.clock.now(), 0)),
       maxBytes: this.options.maxBodyBytes?.() ?? Infinity,
+      budget: this.options.bodyBudget,
       onBody: body => this.trySubmit(routed, body),
       onTimeout: () => sink.sendError('bodyTimeout', ''),
       onTooLarge: () => sink.sendError('bodyTooLarge', ''),
-      onExceeded: () => this.options.onRefused(routed.requestId, 'bodyTooLarge')
+      onEvicted: () => {
+        this.options.onRefused(requestId, 'memoryFull')
+        sink.sendError('memoryFull', '', { retryAfterMs: MEMORY_FULL_RETRY_MS })
+      },
+      onExceeded: () => this.options.onRefused(requestId, 'bodyTooLarge')
     })
   }
 
--- a/packages/daemon/src/core/callers/uploadStream.ts
+++ b/packages/daemon/src/core/callers/uploadStream.ts
@@ -1,7 +1,8 @@
-import type { IncomingMessage } from 'node:http'
+import type { IncomingMessage, ServerResponse } from 'node:http'
 import { Readable } from 'node:stream'
 import type { Milliseconds } from '@cowsliplead/core/types/clock.js'
 import { BodyBuffer } from '../../utils/bodyBuffer.js'
+import type { BodyBudget, BodyCharge } from '../overload/bodyBudget.js'
 
 /** Bytes that wait for the upstream, in addition to the part read before streaming began. */
 const MAX_WAITING_BYTES = 64 * 1024
@@ -14,6 +15,8 @@
   readonly timeoutMs: Milliseconds
   /** Size limit of the body, also of the part that is dropped; a caller that goes on beyond it loses its connection. */
   readonly maxBytes: number
+  /** What the bodies of all requests may take together; a caller that takes most of it loses its connection. */
+  readonly budget: BodyBudget
   /** The limit was exceeded. */
   readonly onExceeded: () => void
 }
@@ -24,13 +27,16 @@
  */
 export class UploadStream extends Readable {
   private readonly waiting = BodyBuffer.create()
+  private readonly charge: BodyCharge
   private isWanted = false
   private hasEnded = false
 
-  private constructor (private readonly request: IncomingMessage, options: UploadStreamOptions) {
+  private constructor (private readonly request: IncomingMessage, response: ServerResponse, options: UploadStreamOptions) {
     // The stream's own queue holds one chunk; the others wait here.
     super({ highWaterMark: 1 })
     for (const chunk of options.start) this.waiting.append(chunk)
+    this.charge = options.budget.open(() => request.destroy(new Error('the request bodies take too much memory')))
+    response.once('close', () => this.charge.release())
     // An attempt that has ended does not read the stream any more, and nobody else handles its errors.
     this.on('error', () => {})
     request.on('data', this.onData)
@@ -40,8 +46,8 @@
     this.enforceLimit(options)
   }
 
-  static create (request: IncomingMessage, options: UploadStreamOptions): UploadStream {
-    return new UploadStream(request, options)
+  static create (request: IncomingMessage, response: ServerResponse, options: UploadStreamOptions): UploadStream {
+    return new UploadStream(request, response, options)
   }
 
   override _read (): void {
@@ -62,11 +68,13 @@
   private readonly onData = (chunk: Buffer): void => {
     this.waiting.append(chunk)
     if (this.isWanted) this.pushWaiting()
+    this.charge.onChunk(this.waiting.capacity)
     if (this.waiting.length >= MAX_WAITING_BYTES) this.request.pause()
   }
 
   private readonly onEnd = (): void => {
     this.hasEnded = true
+    this.charge.onEnd(this.waiting.capacity)
     if (this.isWanted) this.pushWaiting()
   }
 
--- a/packages/daemon/src/core/gateway/gatewayParts.ts
+++ b/packages/daemon/src/core/gateway/gatewayParts.ts
@@ -7,6 +7,7 @@
 import type { DaemonStatus } from '../../types/daemonStatus.js'
 import type { Dialect } from '../../types/dialect.js'
 import type { GatewaySettings } from '../../types/gatewaySettings.js'
+import { DEFAULT_MACHINE_LIMITS } from '../../types/machineLimits.js'
 import { SYSTEM_TIMERS } from '../../types/timers.js'
 import { Proxy } from '../callers/proxy.js'
 import { RequestIds } from '../callers/requestIds.js'
@@ -23,6 +24,7 @@
 import { MEMBERS_GROUP } from '../feed/membership.js'
 import { Handover } from '../handover/handover.js'
 import type { Metrics } from '../operators/metrics.js'
+import { BodyBudget } from '../overload/bodyBudget.js'
 import { PeerServer } from '../peers/peerServer.js'
 import { Quotas } from '../quotas/quotas.js'
 import { EventLoopMonitor } from '../supervision/eventLoopMonitor.js'
@@ -87,6 +89,8 @@
   readonly quotas: Quotas
   /** Undefined if this VM takes no requests of the others. */
   readonly handover: Handover | undefined
+  /** What the bodies of callers' requests may take together. */
+  readonly bodyBudget: BodyBudget
   readonly proxy: Proxy
   readonly callerServer: CallerServer
   readonly readinessServer: ReadinessServer
@@ -107,6 +111,7 @@
     const { logger } = this.eventLog
     this.keyConfirmation = KeyConfirmation.create(settings.maxKeyAgeMs, logger)
     this.authenticator = Authenticator.create(dependencies.dialect, this.keyConfirmation?.age)
+    this.bodyBudget = BodyBudget.create(settings.machine ?? DEFAULT_MACHINE_LIMITS)
     const members = FleetMembers.create(settings.vmId)
     this.handover = this.createHandover(members)
     this.services = this.createServices(members)
@@ -193,6 +198,7 @@
     return Handover.create({
       vmId, failureDomain, bodyTimeoutMs, members, clock, random, dialect, eventLog,
       maxBodyBytes: () => this.services.config?.limits.maxBodyBytes ?? Infinity,
+      bodyBudget: this.bodyBudget,
       forwarders: () => this.services.forwarders(),
       inFlight: () => this.proxy.inFlight,
       stopPlan: () => this.host.stopPlan(),
@@ -215,6 +221,7 @@
       admit: (customer, decide) => this.quotas.admit(customer, decide),
       bodyTimeoutMs: this.settings.bodyTimeoutMs,
       maxBodyBytes: () => this.services.config?.limits.maxBodyBytes ?? Infinity,
+      bodyBudget: this.bodyBudget,
       stopPlan: () => this.host.stopPlan(),
       handover: this.handover,
       onRefused: (request, outcome) => this.eventLog.logRequest('result', { request, outcome }),
--- a/packages/daemon/src/core/handover/handover.ts
+++ b/packages/daemon/src/core/handover/handover.ts
@@ -10,7 +10,9 @@
 import type { ActiveCall } from '../callers/activeCall.js'
 import type { ArrivedRequest, CallHandover } from '../callers/arrivedRequest.js'
 import { readBody, type RequestBody } from '../callers/requestBody.js'
+import { MEMORY_FULL_RETRY_MS } from '../callers/proxy.js'
 import type { EventLog } from '../gateway/eventLog.js'
+import type { BodyBudget } from '../overload/bodyBudget.js'
 import type { StopPlan } from '../gateway/stopPlan.js'
 import type { ServiceForwarder } from '../upstreams/serviceForwarder.js'
 import { HandoverReceiver } from './handoverReceiver.js'
@@ -49,6 +51,7 @@
   readonly eventLog: EventLog
   readonly bodyTimeoutMs: Milliseconds
   readonly maxBodyBytes: () => number
+  readonly bodyBudget: BodyBudget
   readonly forwarders: () => readonly ServiceForwarder[]
   /** Requests of callers and of other VMs in progress. */
   readonly inFlight: () => number
@@ -132,15 +135,16 @@
   }
 
   tryHandOver (arrived: ArrivedRequest, serve: (body: RequestBody) => void): boolean {
-    const { dialect, bodyTimeoutMs, maxBodyBytes } = this.options
-    const { request, sink, arrivedAt } = arrived
+    const { dialect, bodyTimeoutMs, maxBodyBytes, bodyBudget } = this.options
+    const { request, response, sink, arrivedAt } = arrived
     if (this.reachability.state !== 'cutOff' || this.choice.isAllCut) return false
     const timeLeftMs = dialect.timeLeftMs(request.headers) ?? Infinity
     const deadlineAt = arrivedAt + timeLeftMs
     if (this.mayOutlastStop(deadlineAt)) return false
-    readBody(request, {
+    readBody(request, response, {
       timeoutMs: Math.min(bodyTimeoutMs, Math.max(timeLeftMs, 0)),
       maxBytes: maxBodyBytes(),
+      budget: bodyBudget,
       onBody: body => {
         // The body may have taken long.
         if (this.mayOutlastStop(deadlineAt)) return serve(body)
@@ -151,6 +155,7 @@
       },
       onTimeout: () => sink.sendError('bodyTimeout', ''),
       onTooLarge: () => sink.sendError('bodyTooLarge', ''),
+      onEvicted: () => sink.sendError('memoryFull', '', { retryAfterMs: MEMORY_FULL_RETRY_MS }),
       onExceeded: () => this.options.eventLog.logRequest('result', { request: arrived.requestId, outcome: 'bodyTooLarge' })
     })
     return true
--- a/packages/daemon/src/core/handover/receiverResults.ts
+++ b/packages/daemon/src/core/handover/receiverResults.ts
@@ -10,6 +10,7 @@
   shed: 'full',
   full: 'full',
   queueFull: 'full',
+  memoryFull: 'full',
   deadlineUnreachable: 'full',
   rateLimited: 'full',
   stopping: 'unreached',
--- a/packages/daemon/src/types/gatewaySettings.ts
+++ b/packages/daemon/src/types/gatewaySettings.ts
@@ -1,5 +1,6 @@
 import type { Milliseconds } from '@cowsliplead/core/types/clock.js'
 import type { RoutingPolicy } from '@cowsliplead/core/types/routingPolicy.js'
+import type { MachineLimits } from './machineLimits.js'
 
 /** Budget of one service for attempts beyond the first of each request, shared by all entry VMs. */
 export interface FleetRetryBudget {
@@ -37,6 +38,8 @@
   readonly renewalMs: Milliseconds
   /** Time limit for receiving a buffered request body, and for a caller's pause within a streamed one. */
   readonly bodyTimeoutMs: Milliseconds
+  /** Undefined if the platform does not say. */
+  readonly machine?: MachineLimits | undefined
   readonly retryBudget: FleetRetryBudget
   /** Load probes per second that all entry VMs together may send to one upstream. */
   readonly probesPerUpstreamSecond: number
--- a/packages/daemon/src/utils/bodyBuffer.ts
+++ b/packages/daemon/src/utils/bodyBuffer.ts
@@ -1,6 +1,9 @@
 /** Smallest capacity of a buffer that chunks are copied to. */
 const MIN_CAPACITY_BYTES = 4 * 1024
 
+/** How many times its length the memory of a chunk may be that is kept as it is. */
+const MAX_WASTE_FACTOR = 4
+
 const EMPTY = Buffer.alloc(0)
 
 /**
@@ -22,9 +25,14 @@
     return this.size
   }
 
+  /** Bytes of memory that are held for what was collected. */
+  get capacity (): number {
+    return this.content.length
+  }
+
   append (chunk: Buffer): void {
-    // Most short bodies have one chunk, which is kept as it is.
-    if (this.size === 0) this.content = chunk
+    // Most short bodies have one chunk. It is kept as it is, unless it is a small part of what one read of the socket has filled.
+    if (this.size === 0 && chunk.buffer.byteLength <= MAX_WASTE_FACTOR * chunk.length) this.content = chunk
     else this.copyIn(chunk)
     this.size += chunk.length
   }
