Read no more of a head than its limit and a margin

What happened: on each connection up to 256 KB of a head were read and kept, whatever the configuration's limit, so that a few thousand clients with one long header field filled the memory; likewise at the address for other VMs.

Cause: Node's limit for heads was fixed at the start, far above any that a configuration names.

It now follows the configuration: 4 KB above its limit for callers (a head that is somewhat too large still gets the numbered refusal), 8 KB at the address for other VMs, whose requests bear headers of their own. A longer head gets Node's 431 and its connection is closed; the time for a head applies there as well.

--- a/packages/daemon/src/core/control/controlState.ts
+++ b/packages/daemon/src/core/control/controlState.ts
@@ -1,6 +1,6 @@
 import { UpstreamDirectory, type DirectoryChange } from '@cowsliplead/core/core/membership/upstreamDirectory.js'
 import type { Clock, Milliseconds } from '@cowsliplead/core/types/clock.js'
-import type { RouteConfig } from '@cowsliplead/core/types/routes.js'
+import type { CallerLimits, RouteConfig } from '@cowsliplead/core/types/routes.js'
 import type { Upstream } from '@cowsliplead/core/types/upstream.js'
 import type { UpstreamEntry } from '@cowsliplead/core/types/upstreamEntry.js'
 import type { ControlStore, TableRecord } from '../../types/controlStore.js'
@@ -61,7 +61,7 @@
   /** Called when the store answers again after an outage, this VM or one that it follows. */
   readonly onStoreContact?: () => void
   /** Called after a configuration has come into force. */
-  readonly onConfig: () => void
+  readonly onConfig: (limits: CallerLimits) => void
 }
 
 /** This VM's copy of the configuration and of the upstreams, kept up to date from the control store. */
@@ -227,7 +227,7 @@
   private applyConfig (config: RouteConfig, previous: number | undefined): void {
     const { services, logger, onConfig } = this.options
     services.setConfig(config)
-    onConfig()
+    onConfig(config.limits)
     logger.info('configuration in force', { version: config.version, previous, routes: config.routes.length, services: config.services.size, customers: config.customers?.size })
     logRejectedEntries(config, logger)
   }
--- a/packages/daemon/src/core/gateway/callerServer.ts
+++ b/packages/daemon/src/core/gateway/callerServer.ts
@@ -2,11 +2,15 @@
 import { Server as NetServer, type AddressInfo, type Socket } from 'node:net'
 import type { CallerLimits } from '@cowsliplead/core/types/routes.js'
 import type { Component } from '../../types/component.js'
+import { setHeadLimit } from '../../utils/headLimit.js'
 import { listenOn } from '../../utils/listen.js'
 import type { Proxy } from '../callers/proxy.js'
 
-/** Largest request head that Node reads. The configuration sets the limit for accepted heads, which is lower. */
-const MAX_HEAD_BYTES = 256 * 1024
+/** Read of a head beyond the configuration's limit, so that one which is somewhat too large gets a numbered refusal. */
+const HEAD_MARGIN_BYTES = 4 * 1024
+
+/** Limit of heads before the first configuration. */
+const INITIAL_HEAD_BYTES = 16 * 1024
 
 /** How often connections are checked for timeouts. */
 const TIMEOUT_CHECK_INTERVAL_MS = 500
@@ -21,8 +25,6 @@
 export interface CallerServerOptions {
   readonly address: string
   readonly proxy: Proxy
-  /** Limits of the configuration in force; undefined before the first one. */
-  readonly limits: () => CallerLimits | undefined
 }
 
 /** Accepts the requests of callers. Uses Node's HTTP server directly, as there is nothing for a framework to route. */
@@ -33,7 +35,7 @@
 
   private constructor (private readonly options: CallerServerOptions) {
     const { proxy } = options
-    const serverOptions = { maxHeaderSize: MAX_HEAD_BYTES, connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS, requestTimeout: 0, noDelay: true }
+    const serverOptions = { maxHeaderSize: INITIAL_HEAD_BYTES + HEAD_MARGIN_BYTES, connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS, requestTimeout: 0, noDelay: true }
     this.server = createServer(serverOptions, (request, response) => proxy.handle(request, response))
     this.server.on('connection', socket => this.track(socket))
   }
@@ -68,9 +70,8 @@
   }
 
   /** Applies the limits of a new configuration. */
-  applyLimits (): void {
-    const limits = this.options.limits()
-    if (limits === undefined) return
+  applyLimits (limits: CallerLimits): void {
+    setHeadLimit(this.server, limits.maxHeaderBytes + HEAD_MARGIN_BYTES)
     this.server.headersTimeout = limits.headerTimeoutMs
     this.server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS
   }
--- a/packages/daemon/src/core/gateway/gatewayParts.ts
+++ b/packages/daemon/src/core/gateway/gatewayParts.ts
@@ -121,7 +121,10 @@
     this.controlState = ControlState.create({
       store, clock, services: this.services, logger, feed, keyConfirmation: this.keyConfirmation, renewalMs: settings.renewalMs,
       onStoreContact: () => this.fleet.retryLost(),
-      onConfig: () => this.callerServer.applyLimits()
+      onConfig: limits => {
+        this.callerServer.applyLimits(limits)
+        this.peerServer?.applyLimits(limits)
+      }
     })
     this.policyRestorer = this.createPolicyRestorer()
     const onDocument = (document: PolicyDocument): void => this.services.setPolicyDocument(document)
@@ -132,7 +135,7 @@
     this.quotas = Quotas.create({ settings, members, clock, random: this.random, logger, config: () => this.services.config })
     this.proxy = this.createProxy()
     this.peerServer = this.createPeerServer()
-    this.callerServer = CallerServer.create({ address: settings.publicAddress, proxy: this.proxy, limits: () => this.services.config?.limits })
+    this.callerServer = CallerServer.create({ address: settings.publicAddress, proxy: this.proxy })
     this.readinessServer = ReadinessServer.create({
       address: settings.readinessAddress, path: settings.readinessPath, unreadyReasons: () => host.unreadyReasons()
     })
--- a/packages/daemon/src/core/peers/peerServer.ts
+++ b/packages/daemon/src/core/peers/peerServer.ts
@@ -1,8 +1,10 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
+import type { CallerLimits } from '@cowsliplead/core/types/routes.js'
 import type { Component } from '../../types/component.js'
 import { splitAddress } from '../../utils/address.js'
 import { dropRest } from '../../utils/dropRest.js'
+import { setHeadLimit } from '../../utils/headLimit.js'
 import { PEER_PURPOSE_HEADER } from '../../utils/headers.js'
 import { closeImmediately, listenOn } from '../../utils/listen.js'
 
@@ -20,8 +22,11 @@
   readonly onError: (error: Error) => void
 }
 
-/** Callers' requests that are handed over may have heads of this size, as at the caller server. */
-const MAX_HEAD_BYTES = 260 * 1024
+/** What the head of a request that is handed over has beyond the configuration's limit for callers: the headers between VMs. */
+const HEAD_MARGIN_BYTES = 8 * 1024
+
+/** Limit of callers' heads before the first configuration. */
+const INITIAL_HEAD_BYTES = 16 * 1024
 
 /** Takes the requests of the other entry VMs. Callers do not know its address. */
 export class PeerServer implements Component {
@@ -29,7 +34,7 @@
   private readonly server: Server
 
   private constructor (private readonly options: PeerServerOptions) {
-    this.server = createServer({ maxHeaderSize: MAX_HEAD_BYTES, requestTimeout: 0 }, (request, response) => this.handle(request, response))
+    this.server = createServer({ maxHeaderSize: INITIAL_HEAD_BYTES + HEAD_MARGIN_BYTES, requestTimeout: 0 }, (request, response) => this.handle(request, response))
   }
 
   static create (options: PeerServerOptions): PeerServer {
@@ -47,6 +52,12 @@
     return listenOn(this.server, this.options.address, onFailure)
   }
 
+  /** Applies the limits of a new configuration. */
+  applyLimits ({ maxHeaderBytes, headerTimeoutMs }: CallerLimits): void {
+    setHeadLimit(this.server, maxHeaderBytes + HEAD_MARGIN_BYTES)
+    this.server.headersTimeout = headerTimeoutMs
+  }
+
   async stop (): Promise<void> {
     closeImmediately(this.server)
   }
