Bound the connections of each server, and close those with the least to lose

What happened: clients connect and send nothing, at the address of callers, of other VMs, of operators, of readiness or of the feed. Nothing bounded their number but the descriptors of the process; once these are used up, neither callers nor upstreams nor the store can be reached.

Cause: Node's servers take every connection, and only the time for a head ends those without a request (a minute or more at the internal addresses).

Each server now has a share of the machine's descriptors, and of its memory. Beyond it the oldest connection that has had no request is closed for the new one, then one whose request has not ended, then an idle one; the new one only if all are busy. The feed's server is an HTTP server of our own, so that it can be bounded like the others.

--- a/packages/bench/src/core/capacity/controlCost.ts
+++ b/packages/bench/src/core/capacity/controlCost.ts
@@ -18,6 +18,9 @@
 const VM_COUNTS = [6, 18, 48]
 const UPSTREAM_COUNTS = [36, 72, 150]
 const DEFAULT_VM_COUNT = 6
+
+/** More than the VMs of the largest fleet that is measured. */
+const MAX_CONNECTIONS = 100
 const DEFAULT_UPSTREAM_COUNT = 36
 const HEARTBEAT_INTERVAL_MS = 1500
 /** Time for VMs to register as members and connect to each other. */
@@ -96,7 +99,7 @@
   const clock = MonotonicClock.create()
   const logger = winston.createLogger({ silent: true })
   const services: ControlTarget = { config: undefined as RouteConfig | undefined, setConfig: () => {}, setEvacuatedDomains: () => {}, setUpstreams: () => {} }
-  const fleet = Fleet.create({ vmId, members: FleetMembers.create(vmId), failureDomain: 'nyeri', address: '127.0.0.1:0', store, clock, logger, onSizeChange: () => {} })
+  const fleet = Fleet.create({ maxConnections: MAX_CONNECTIONS, vmId, members: FleetMembers.create(vmId), failureDomain: 'nyeri', address: '127.0.0.1:0', store, clock, logger, onSizeChange: () => {} })
   const { feed, membership } = fleet
   const control = ControlState.create({ store, clock, services, logger, feed, renewalMs: RENEWAL_MS, onConfig: () => {} })
   const table = FleetTable.create({ store, clock, logger, feed, consumers: { [MEMBERS_GROUP]: membership } })
--- a/packages/daemon/__tests__/adminServer.test.ts
+++ b/packages/daemon/__tests__/adminServer.test.ts
@@ -7,7 +7,7 @@
   // Guards against an unhandled rejection that ends the process because one metric cannot be read.
   it('answers 500 if the metrics cannot be rendered, and goes on serving', async () => {
     const metrics = { render: () => Promise.reject(new Error('test')) } as unknown as Metrics
-    const server = AdminServer.create({ address: '127.0.0.1:0', metrics, status: () => ({}) as DaemonStatus, dump: () => ({}) })
+    const server = AdminServer.create({ maxConnections: 100, address: '127.0.0.1:0', metrics, status: () => ({}) as DaemonStatus, dump: () => ({}) })
     await server.start(error => expect.fail(error.message))
     try {
       expect((await fetch(`http://127.0.0.1:${server.port}/metrics`)).status).to.equal(500)
--- a/packages/daemon/__tests__/endlessOperators.test.ts
+++ b/packages/daemon/__tests__/endlessOperators.test.ts
@@ -25,8 +25,8 @@
       await sleep(5)
       return { text: 'metrics', contentType: 'text/plain' }
     } } as unknown as Metrics
-    admin = AdminServer.create({ address: '127.0.0.1:0', metrics, status: () => ({}) as DaemonStatus, dump: () => ({}) })
-    readiness = ReadinessServer.create({ address: '127.0.0.1:0', path: '/metrics', unreadyReasons: () => [] })
+    admin = AdminServer.create({ maxConnections: 100, address: '127.0.0.1:0', metrics, status: () => ({}) as DaemonStatus, dump: () => ({}) })
+    readiness = ReadinessServer.create({ maxConnections: 100, address: '127.0.0.1:0', path: '/metrics', unreadyReasons: () => [] })
     await admin.start(throwError)
     await readiness.start(throwError)
   })
--- a/packages/daemon/__tests__/endlessPeers.test.ts
+++ b/packages/daemon/__tests__/endlessPeers.test.ts
@@ -48,6 +48,7 @@
   // Guards against a faulty VM whose messages take a hundred times their length in memory.
   it('takes little memory', async () => {
     const server = PeerServer.create({
+      maxConnections: 100,
       address: '127.0.0.1:0', handlers: { quota: createLeaseHandler(() => ({ kind: 'notHolder' }), throwError) }, onError: throwError
     })
     await server.start(throwError)
@@ -63,7 +64,7 @@
 describe('a VM that never ends a request that was refused', () => {
   // Guards against reading the rest of a body for as long as it is sent.
   it('loses its connection after the answer', async () => {
-    const server = PeerServer.create({ address: '127.0.0.1:0', handlers: {}, onError: throwError })
+    const server = PeerServer.create({ maxConnections: 100, address: '127.0.0.1:0', handlers: {}, onError: throwError })
     await server.start(throwError)
     const socket = connect(Number(server.address.split(':')[1]), '127.0.0.1')
     let answer = ''
--- a/packages/daemon/__tests__/feed.test.ts
+++ b/packages/daemon/__tests__/feed.test.ts
@@ -72,7 +72,7 @@
     const { store } = this
     const clock = MonotonicClock.create()
     const logger = winston.createLogger({ silent: true })
-    this.fleet = Fleet.create({ vmId, members: FleetMembers.create(vmId), failureDomain: `domain${Number(vmId.at(-1)) % 2}`, address: '127.0.0.1:0', store, clock, logger, onSizeChange: () => {} })
+    this.fleet = Fleet.create({ maxConnections: 100, vmId, members: FleetMembers.create(vmId), failureDomain: `domain${Number(vmId.at(-1)) % 2}`, address: '127.0.0.1:0', store, clock, logger, onSizeChange: () => {} })
     const { feed, membership, server } = this.fleet
     const table = FleetTable.create({ store, clock, logger, feed, consumers: { [MEMBERS_GROUP]: membership } })
     const appendRecords = (records: readonly TableRecord[]): void => {
--- a/packages/daemon/__tests__/leases.test.ts
+++ b/packages/daemon/__tests__/leases.test.ts
@@ -13,6 +13,7 @@
 describe('requests for tokens between daemons', () => {
   const client = LeaseClient.create({ vmId: 'vm0', grantLocally: () => ({ kind: 'notHolder' }), onError: fail })
   const server = PeerServer.create({
+    maxConnections: 100,
     address: '127.0.0.1:0',
     handlers: { quota: createLeaseHandler(({ tokens }) => ({ kind: 'granted', tokens, nextTokenMs: 0 }), fail) },
     onError: fail
--- a/packages/daemon/src/core/feed/feedServer.ts
+++ b/packages/daemon/src/core/feed/feedServer.ts
@@ -1,3 +1,5 @@
+import { createServer, type Server } from 'node:http'
+import type { Socket } from 'node:net'
 import { WebSocketServer, type RawData, type WebSocket } from 'ws'
 import type { Clock, Milliseconds } from '@cowsliplead/core/types/clock.js'
 import { parseJson } from '@cowsliplead/core/utils/parseJson.js'
@@ -6,6 +8,8 @@
 import { FEED_REQUEST, type ConfirmationRequest, type FeedMessage, type FeedRecords } from '../../types/feedMessage.js'
 import type { FeedPublisher, HeldRecords, OffsetChanges } from '../../types/feedTable.js'
 import { splitAddress } from '../../utils/address.js'
+import { closeImmediately, listenOn } from '../../utils/listen.js'
+import { ConnectionLimit } from '../overload/connectionLimit.js'
 import type { ChangeFeed } from './changeFeed.js'
 import type { ConfirmationExchange } from './confirmationExchange.js'
 import { bytesOf, encodeFeedRecords } from './feedRecords.js'
@@ -26,6 +30,9 @@
  */
 const MAX_SENT_BYTES = 256 * 1024
 
+/** Status for a request that is no follower's. */
+const UPGRADE_REQUIRED = 426
+
 /** Requests of followers are short; a longer message ends the connection. */
 const MAX_REQUEST_BYTES = 1024
 
@@ -33,6 +40,7 @@
 export interface FeedServerOptions {
   /** IP address and port to listen on. */
   readonly address: string
+  readonly maxConnections: number
   readonly feed: ChangeFeed
   readonly clock: Clock
   /** Undefined if the age of the configuration is not limited. */
@@ -46,7 +54,10 @@
   readonly name = 'feed server'
   /** Messages sent since the start. */
   sent = 0
+  private httpServer: Server | undefined
   private server: WebSocketServer | undefined
+  /** Connections of followers. */
+  private readonly followerSockets = new WeakSet<Socket>()
   private heartbeat: NodeJS.Timeout | undefined
   private positionTimer: NodeJS.Timeout | undefined
   private positionsSentAt: Milliseconds = -Infinity
@@ -61,7 +72,7 @@
 
   /** Address of the server, with the bound port once it listens. */
   get address (): string {
-    const bound = this.server?.address()
+    const bound = this.httpServer?.address()
     const { host } = splitAddress(this.options.address)
     return bound === null || bound === undefined || typeof bound === 'string' ? this.options.address : `${host}:${bound.port}`
   }
@@ -72,17 +83,18 @@
   }
 
   async start (onFailure: (error: Error) => void): Promise<void> {
-    const server = new WebSocketServer({ ...splitAddress(this.options.address), perMessageDeflate: false, maxPayload: MAX_REQUEST_BYTES })
+    const httpServer = createServer((_request, response) => void response.writeHead(UPGRADE_REQUIRED, { connection: 'close' }).end())
+    const server = new WebSocketServer({ server: httpServer, perMessageDeflate: false, maxPayload: MAX_REQUEST_BYTES })
+    this.httpServer = httpServer
     this.server = server
-    await new Promise<void>((resolve, reject) => {
-      server.once('error', reject)
-      server.once('listening', () => {
-        server.off('error', reject)
-        resolve()
-      })
+    // Errors of the HTTP server, which the listener below handles, are passed on.
+    server.on('error', () => {})
+    ConnectionLimit.create(httpServer, { maximum: this.options.maxConnections, stateOf: socket => this.isFollower(socket) ? 'busy' : 'new' })
+    await listenOn(httpServer, this.options.address, onFailure)
+    server.on('connection', (socket, request) => {
+      this.followerSockets.add(request.socket)
+      this.accept(socket)
     })
-    server.once('error', onFailure)
-    server.on('connection', socket => this.accept(socket))
     this.heartbeat = setInterval(() => this.sendHeartbeat(), HEARTBEAT_MS / 2)
   }
 
@@ -92,6 +104,7 @@
     this.positionTimer = undefined
     for (const socket of this.server?.clients ?? []) socket.terminate()
     this.server?.close()
+    if (this.httpServer !== undefined) closeImmediately(this.httpServer)
   }
 
   onChanges (table: TableName, { epoch, from, records }: OffsetChanges): void {
@@ -118,6 +131,10 @@
     this.broadcast(this.positions())
   }
 
+  private isFollower (socket: Socket): boolean {
+    return this.followerSockets.has(socket)
+  }
+
   private accept (socket: WebSocket): void {
     socket.on('error', () => socket.terminate())
     socket.on('close', () => this.requests.delete(socket))
--- a/packages/daemon/src/core/feed/fleet.ts
+++ b/packages/daemon/src/core/feed/fleet.ts
@@ -19,6 +19,8 @@
   readonly failureDomain: string
   /** IP address and port that the other VMs connect to. */
   readonly address: string
+  /** Connections that other VMs may have to this one. */
+  readonly maxConnections: number
   /** Address at which this VM takes requests of the others; undefined if it takes none. */
   readonly peerAddress?: () => string | undefined
   readonly store: ControlStore
@@ -52,12 +54,12 @@
   readonly members: FleetMembers
   private readonly follower: FeedFollower
 
-  private constructor ({ vmId, members, failureDomain, address, peerAddress, store, clock, logger, confirmations, onSizeChange, onLeaving }: FleetOptions) {
+  private constructor ({ vmId, members, failureDomain, address, maxConnections, peerAddress, store, clock, logger, confirmations, onSizeChange, onLeaving }: FleetOptions) {
     const feed = ChangeFeed.create(clock)
     this.members = members
     this.feed = feed
     this.leaving = LeavingNotices.create({ clock, logger, onNotice: notice => onLeaving?.(notice) })
-    this.server = FeedServer.create({ address, feed, clock, confirmations, leaving: this.leaving })
+    this.server = FeedServer.create({ address, maxConnections, feed, clock, confirmations, leaving: this.leaving })
     this.leaving.setPublisher(() => this.server.onPosition())
     feed.setPublisher(this.server)
     this.membership = Membership.create({
--- a/packages/daemon/src/core/gateway/adminServer.ts
+++ b/packages/daemon/src/core/gateway/adminServer.ts
@@ -9,6 +9,7 @@
 /** Options of the admin server. */
 export interface AdminServerOptions {
   readonly address: string
+  readonly maxConnections: number
   readonly metrics: Metrics
   readonly status: () => DaemonStatus
   /** Complete state of the daemon. */
@@ -22,7 +23,7 @@
 
   private constructor (private readonly options: AdminServerOptions) {
     const { status, dump } = options
-    this.server = createPlainServer((request, response) => {
+    this.server = createPlainServer(options.maxConnections, (request, response) => {
       if (request.url === '/metrics') this.sendMetrics(response).catch((error: Error) => sendFailure(response, error))
       else if (request.url === '/status') sendJson(response, status())
       else if (request.url === '/dump') sendJson(response, dump())
--- a/packages/daemon/src/core/gateway/callerServer.ts
+++ b/packages/daemon/src/core/gateway/callerServer.ts
@@ -5,6 +5,8 @@
 import { setHeadLimit } from '../../utils/headLimit.js'
 import { listenOn } from '../../utils/listen.js'
 import type { Proxy } from '../callers/proxy.js'
+import { ConnectionActivity } from '../overload/connectionActivity.js'
+import { ConnectionLimit } from '../overload/connectionLimit.js'
 
 /** Read of a head beyond the configuration's limit, so that one which is somewhat too large gets a numbered refusal. */
 const HEAD_MARGIN_BYTES = 4 * 1024
@@ -25,6 +27,7 @@
 export interface CallerServerOptions {
   readonly address: string
   readonly proxy: Proxy
+  readonly maxConnections: number
 }
 
 /** Accepts the requests of callers. Uses Node's HTTP server directly, as there is nothing for a framework to route. */
@@ -32,11 +35,19 @@
   readonly name = 'caller server'
   private readonly server: Server
   private readonly sockets = new Set<Socket>()
+  private readonly activity = ConnectionActivity.create()
+  private readonly limit: ConnectionLimit
+  /** How much of a head is read. */
+  private headBytes = INITIAL_HEAD_BYTES + HEAD_MARGIN_BYTES
 
   private constructor (private readonly options: CallerServerOptions) {
-    const { proxy } = options
-    const serverOptions = { maxHeaderSize: INITIAL_HEAD_BYTES + HEAD_MARGIN_BYTES, connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS, requestTimeout: 0, noDelay: true }
-    this.server = createServer(serverOptions, (request, response) => proxy.handle(request, response))
+    const { proxy, maxConnections } = options
+    const serverOptions = { maxHeaderSize: this.headBytes, connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS, requestTimeout: 0, noDelay: true }
+    this.server = createServer(serverOptions, (request, response) => {
+      this.activity.onRequest(request, response)
+      proxy.handle(request, response)
+    })
+    this.limit = ConnectionLimit.create(this.server, { maximum: maxConnections, stateOf: socket => this.activity.stateOf(socket) })
     this.server.on('connection', socket => this.track(socket))
   }
 
@@ -71,7 +82,8 @@
 
   /** Applies the limits of a new configuration. */
   applyLimits (limits: CallerLimits): void {
-    setHeadLimit(this.server, limits.maxHeaderBytes + HEAD_MARGIN_BYTES)
+    this.headBytes = limits.maxHeaderBytes + HEAD_MARGIN_BYTES
+    setHeadLimit(this.server, this.headBytes)
     this.server.headersTimeout = limits.headerTimeoutMs
     this.server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS
   }
@@ -92,6 +104,11 @@
     }
   }
 
+  /** Connections closed since the start because there were too many, or more came on them than the head of a request. */
+  get closedConnections (): number {
+    return this.limit.closed
+  }
+
   /** Whether all connections are closed. */
   get isClosed (): boolean {
     return this.sockets.size === 0
@@ -99,6 +116,7 @@
 
   private track (socket: Socket): void {
     this.sockets.add(socket)
+    this.activity.add(socket)
     socket.once('close', () => this.sockets.delete(socket))
   }
 }
--- a/packages/daemon/src/core/gateway/gatewayParts.ts
+++ b/packages/daemon/src/core/gateway/gatewayParts.ts
@@ -7,7 +7,7 @@
 import type { DaemonStatus } from '../../types/daemonStatus.js'
 import type { Dialect } from '../../types/dialect.js'
 import type { GatewaySettings } from '../../types/gatewaySettings.js'
-import { DEFAULT_MACHINE_LIMITS } from '../../types/machineLimits.js'
+import { DEFAULT_MACHINE_LIMITS, type MachineLimits } from '../../types/machineLimits.js'
 import { SYSTEM_TIMERS } from '../../types/timers.js'
 import { Proxy } from '../callers/proxy.js'
 import { RequestIds } from '../callers/requestIds.js'
@@ -25,6 +25,7 @@
 import { Handover } from '../handover/handover.js'
 import type { Metrics } from '../operators/metrics.js'
 import { BodyBudget } from '../overload/bodyBudget.js'
+import { maxConnectionsOf, type ServerPurpose } from '../overload/connectionLimit.js'
 import { PeerServer } from '../peers/peerServer.js'
 import { Quotas } from '../quotas/quotas.js'
 import { EventLoopMonitor } from '../supervision/eventLoopMonitor.js'
@@ -111,7 +112,7 @@
     const { logger } = this.eventLog
     this.keyConfirmation = KeyConfirmation.create(settings.maxKeyAgeMs, logger)
     this.authenticator = Authenticator.create(dependencies.dialect, this.keyConfirmation?.age)
-    this.bodyBudget = BodyBudget.create(settings.machine ?? DEFAULT_MACHINE_LIMITS)
+    this.bodyBudget = BodyBudget.create(this.machine)
     const members = FleetMembers.create(settings.vmId)
     this.handover = this.createHandover(members)
     this.services = this.createServices(members)
@@ -135,12 +136,12 @@
     this.quotas = Quotas.create({ settings, members, clock, random: this.random, logger, config: () => this.services.config })
     this.proxy = this.createProxy()
     this.peerServer = this.createPeerServer()
-    this.callerServer = CallerServer.create({ address: settings.publicAddress, proxy: this.proxy })
+    this.callerServer = CallerServer.create({ address: settings.publicAddress, proxy: this.proxy, maxConnections: this.maxConnections('callers') })
     this.readinessServer = ReadinessServer.create({
-      address: settings.readinessAddress, path: settings.readinessPath, unreadyReasons: () => host.unreadyReasons()
+      address: settings.readinessAddress, maxConnections: this.maxConnections('readiness'), path: settings.readinessPath, unreadyReasons: () => host.unreadyReasons()
     })
     this.adminServer = AdminServer.create({
-      address: settings.adminAddress, metrics: host.metrics, status: () => host.status(), dump: () => host.describe()
+      address: settings.adminAddress, maxConnections: this.maxConnections('operators'), metrics: host.metrics, status: () => host.status(), dump: () => host.describe()
     })
     this.supervisor = this.createSupervisor()
     this.eventLoopMonitor = EventLoopMonitor.create(clock, lengthMs => this.onStall(lengthMs))
@@ -151,6 +152,14 @@
     return new GatewayParts(settings, dependencies, host)
   }
 
+  private get machine (): MachineLimits {
+    return this.settings.machine ?? DEFAULT_MACHINE_LIMITS
+  }
+
+  private maxConnections (purpose: ServerPurpose): number {
+    return maxConnectionsOf(this.machine, purpose)
+  }
+
   private createServices (members: FleetMembers): GatewayServices {
     const { clock, tickTimer, settings, eventLog } = this
     const latencyHistogram = this.host.metrics.createLatencyHistogram()
@@ -181,6 +190,7 @@
       members,
       failureDomain: settings.failureDomain,
       address: settings.feedAddress,
+      maxConnections: this.maxConnections('feed'),
       peerAddress: () => this.peerServer?.address,
       store,
       clock,
@@ -237,6 +247,7 @@
     if (peerAddress === undefined) return undefined
     return PeerServer.create({
       address: peerAddress,
+      maxConnections: this.maxConnections('vms'),
       handlers: {
         quota: this.quotas.handler,
         handover: (request, response) => this.handover?.handlePeer(request, response)
--- a/packages/daemon/src/core/gateway/readinessServer.ts
+++ b/packages/daemon/src/core/gateway/readinessServer.ts
@@ -7,6 +7,7 @@
 /** Options of the readiness server. */
 export interface ReadinessServerOptions {
   readonly address: string
+  readonly maxConnections: number
   readonly path: string
   /** Why the daemon is not ready; empty when it is. */
   readonly unreadyReasons: () => readonly string[]
@@ -19,7 +20,7 @@
 
   private constructor (private readonly options: ReadinessServerOptions) {
     const { path, unreadyReasons } = options
-    this.server = createPlainServer((request, response) => {
+    this.server = createPlainServer(options.maxConnections, (request, response) => {
       if (request.url !== path) return void response.writeHead(404).end()
       const reasons = unreadyReasons()
       response.writeHead(reasons.length === 0 ? 200 : 503, { 'content-type': 'application/json' })
--- a/packages/daemon/src/core/operators/metrics.ts
+++ b/packages/daemon/src/core/operators/metrics.ts
@@ -38,6 +38,8 @@
   feedMessages (): { readonly received: number, readonly sent: number }
   /** Writes to the log's output since the start. */
   logWrites (): number
+  /** Callers' connections closed because there were too many, or for bytes that are no request, since the start. */
+  closedConnections (): number
   /** Bodies of requests given up for want of memory since the start. */
   evictedBodies (): number
   /** Reads of the store since the start, by table. */
@@ -97,6 +99,7 @@
     this.addGauge('cowsliplead_processor_seconds', 'Processor time of the process since its start', () => source.processorSeconds())
     this.addGauge('cowsliplead_feed_messages_received', 'Messages from the VMs that this one follows, since the start', () => source.feedMessages().received)
     this.addGauge('cowsliplead_feed_messages_sent', 'Messages to the VMs that follow this one, since the start', () => source.feedMessages().sent)
+    this.addGauge('cowsliplead_closed_caller_connections', 'Connections of callers closed since the start because there were too many, or for bytes that are no request', () => source.closedConnections())
     this.addGauge('cowsliplead_evicted_bodies', 'Bodies of requests given up since the start because all together took too much memory', () => source.evictedBodies())
     this.addGauge('cowsliplead_log_writes', 'Writes to the output of the log since the start', () => source.logWrites())
     this.addStoreReads(() => source.storeReads())
--- a/packages/daemon/src/core/peers/peerServer.ts
+++ b/packages/daemon/src/core/peers/peerServer.ts
@@ -2,6 +2,8 @@
 import type { AddressInfo } from 'node:net'
 import type { CallerLimits } from '@cowsliplead/core/types/routes.js'
 import type { Component } from '../../types/component.js'
+import { ConnectionActivity } from '../overload/connectionActivity.js'
+import { ConnectionLimit } from '../overload/connectionLimit.js'
 import { splitAddress } from '../../utils/address.js'
 import { dropRest } from '../../utils/dropRest.js'
 import { setHeadLimit } from '../../utils/headLimit.js'
@@ -18,6 +20,7 @@
 export interface PeerServerOptions {
   /** IP address and port to listen on. */
   readonly address: string
+  readonly maxConnections: number
   readonly handlers: Partial<Record<PeerPurpose, PeerHandler>>
   readonly onError: (error: Error) => void
 }
@@ -32,9 +35,12 @@
 export class PeerServer implements Component {
   readonly name = 'peer server'
   private readonly server: Server
+  private readonly activity = ConnectionActivity.create()
 
   private constructor (private readonly options: PeerServerOptions) {
     this.server = createServer({ maxHeaderSize: INITIAL_HEAD_BYTES + HEAD_MARGIN_BYTES, requestTimeout: 0 }, (request, response) => this.handle(request, response))
+    this.server.on('connection', socket => this.activity.add(socket))
+    ConnectionLimit.create(this.server, { maximum: options.maxConnections, stateOf: socket => this.activity.stateOf(socket) })
   }
 
   static create (options: PeerServerOptions): PeerServer {
@@ -64,6 +70,7 @@
 
   /** An exception in one request must not end the process. */
   private handle (request: IncomingMessage, response: ServerResponse): void {
+    this.activity.onRequest(request, response)
     const handler = this.options.handlers[request.headers[PEER_PURPOSE_HEADER] as PeerPurpose]
     if (handler === undefined) {
       dropRest(request, response)
