Close connections on which more comes than the head of a request, and no request

Cause: the limit of a head does not count what comes before the request line.

What a connection has read since its last request is compared with the limit of a head and one read of the socket, ten times a second while there is a connection that has had no request, twice otherwise.

--- a/packages/daemon/src/core/gateway/callerServer.ts
+++ b/packages/daemon/src/core/gateway/callerServer.ts
@@ -7,6 +7,7 @@
 import type { Proxy } from '../callers/proxy.js'
 import { ConnectionActivity } from '../overload/connectionActivity.js'
 import { ConnectionLimit } from '../overload/connectionLimit.js'
+import { UnparsedBytes } from '../overload/unparsedBytes.js'
 
 /** Read of a head beyond the configuration's limit, so that one which is somewhat too large gets a numbered refusal. */
 const HEAD_MARGIN_BYTES = 4 * 1024
@@ -37,6 +38,7 @@
   private readonly sockets = new Set<Socket>()
   private readonly activity = ConnectionActivity.create()
   private readonly limit: ConnectionLimit
+  private readonly unparsed = UnparsedBytes.create(this.activity, () => this.headBytes)
   /** How much of a head is read. */
   private headBytes = INITIAL_HEAD_BYTES + HEAD_MARGIN_BYTES
 
@@ -65,6 +67,7 @@
    */
   async stop (): Promise<void> {
     this.stopListening()
+    this.unparsed.stop()
     for (const socket of this.sockets) {
       if (this.options.proxy.idleMs(socket) === 0) socket.resetAndDestroy()
       else socket.destroy()
@@ -106,7 +109,7 @@
 
   /** Connections closed since the start because there were too many, or more came on them than the head of a request. */
   get closedConnections (): number {
-    return this.limit.closed
+    return this.limit.closed + this.unparsed.closed
   }
 
   /** Whether all connections are closed. */
@@ -117,6 +120,7 @@
   private track (socket: Socket): void {
     this.sockets.add(socket)
     this.activity.add(socket)
+    this.unparsed.watch()
     socket.once('close', () => this.sockets.delete(socket))
   }
 }
