--- a/packages/core/src/core/handover/upstreamReachability.ts
+++ b/packages/core/src/core/handover/upstreamReachability.ts
@@ -1,6 +1,7 @@
 import type { Clock, Milliseconds } from '../../types/clock.js'
 import type { RandomSource } from '../../types/randomSource.js'
 import type { Upstream } from '../../types/upstream.js'
+import { UpstreamCoverage } from './upstreamCoverage.js'
 
 /** `suspected`: there are signs that no upstream can be reached; `cutOff`: there is proof. */
 export type ReachabilityState = 'reachable' | 'suspected' | 'cutOff'
@@ -36,12 +37,6 @@
 
 const SUSPICION_UPSTREAMS = 2
 
-/** One failure domain of upstreams may be down as a whole. */
-const CUT_DOMAINS = 2
-
-/** One service may be down as a whole. */
-const CUT_SERVICES = 2
-
 /** Failures older than this say nothing about the present. */
 const FAILURE_LIFETIME_MS: Milliseconds = 3000
 
@@ -86,10 +81,7 @@
  */
 export class UpstreamReachability {
   private current: ReachabilityState = 'reachable'
-  private upstreams: ReadonlyMap<string, Upstream> = new Map()
-  /** Failure domains and services of the upstreams. */
-  private domainCount = 0
-  private serviceCount = 0
+  private readonly upstreams = UpstreamCoverage.create()
   private readonly exchanges = new Map<object, Exchange>()
   /** Times of proven failures since the last response, by upstream. */
   private readonly failures = new Map<string, Milliseconds>()
@@ -120,9 +112,7 @@
 
   /** Sets the registered upstreams of all services. */
   setUpstreams (upstreams: readonly Upstream[]): void {
-    this.upstreams = new Map(upstreams.map(upstream => [upstream.id, upstream]))
-    this.domainCount = domainsOf(upstreams).size
-    this.serviceCount = servicesOf(upstreams).size
+    this.upstreams.set(upstreams)
     for (const failed of [this.failures, this.unanswered, this.refused, this.answeredAt]) {
       for (const id of failed.keys()) if (!this.upstreams.has(id)) failed.delete(id)
     }
@@ -259,11 +249,11 @@
 
   private isProven (now: Milliseconds): boolean {
     const hasFailedProbes = this.failedProbes.size >= Math.min(CUT_PROBED_UPSTREAMS, this.upstreams.size)
-    return hasFailedProbes && this.silentMs(now) >= CUT_MS && this.coversEnough(this.failures, CUT_UPSTREAMS)
+    return hasFailedProbes && this.silentMs(now) >= CUT_MS && this.upstreams.coversEnough(this.failures, CUT_UPSTREAMS)
   }
 
   private isSuspect (now: Milliseconds): boolean {
-    return this.coversEnough(this.refused, CUT_UPSTREAMS) || this.isSilenceSuspect(now)
+    return this.upstreams.coversEnough(this.refused, CUT_UPSTREAMS) || this.isSilenceSuspect(now)
   }
 
   private isSilenceSuspect (now: Milliseconds): boolean {
@@ -274,24 +264,6 @@
     }
     return signs.size >= Math.max(1, Math.min(SUSPICION_UPSTREAMS, this.upstreams.size))
   }
-
-  /** Whether there are enough different upstreams, of enough failure domains and services. */
-  private coversEnough (failures: ReadonlyMap<string, Milliseconds>, count: number): boolean {
-    const needed = Math.max(1, Math.min(count, this.upstreams.size))
-    if (failures.size < needed) return false
-    const failed = [...failures.keys()].map(id => this.upstreams.get(id)).filter(upstream => upstream !== undefined)
-    return failed.length >= needed &&
-      domainsOf(failed).size >= Math.min(CUT_DOMAINS, this.domainCount) &&
-      servicesOf(failed).size >= Math.min(CUT_SERVICES, this.serviceCount)
-  }
-}
-
-function domainsOf (upstreams: readonly Upstream[]): ReadonlySet<string> {
-  return new Set(upstreams.map(({ failureDomain }) => failureDomain))
-}
-
-function servicesOf (upstreams: readonly Upstream[]): ReadonlySet<string> {
-  return new Set(upstreams.map(({ service }) => service))
 }
 
 /** Number of earlier calls with this key. */
--- a/packages/daemon/src/core/control/controlState.ts
+++ b/packages/daemon/src/core/control/controlState.ts
@@ -1,14 +1,13 @@
-import { UpstreamDirectory, type DirectoryChange } from '@cowsliplead/core/core/membership/upstreamDirectory.js'
 import type { Clock, Milliseconds } from '@cowsliplead/core/types/clock.js'
 import type { CallerLimits, RouteConfig } from '@cowsliplead/core/types/routes.js'
 import type { Upstream } from '@cowsliplead/core/types/upstream.js'
-import type { UpstreamEntry } from '@cowsliplead/core/types/upstreamEntry.js'
 import type { ControlStore, TableRecord } from '../../types/controlStore.js'
 import type { TableConsumer } from '../../types/tableConsumer.js'
 import type { KeyConfirmation } from '../customers/keyConfirmation.js'
 import type { ChangeFeed } from '../feed/changeFeed.js'
 import type { Logger } from '../operators/logger.js'
 import { EvacuationState } from './evacuationState.js'
+import { RegisteredUpstreams } from './registeredUpstreams.js'
 import { logStoreOutages } from './storeOutageLog.js'
 import { TableReader } from './tableReader.js'
 
@@ -30,11 +29,6 @@
  */
 const MAX_FEED_AGE_MS: Milliseconds = 1500
 
-const MIN_TIMER_MS: Milliseconds = 1
-
-/** How often it is checked, while entries are missing after an outage, whether other VMs have seen one too. */
-const OUTAGE_CHECK_INTERVAL_MS: Milliseconds = 100
-
 /** A configuration may have thousands of entries. */
 const MAX_LOGGED_ENTRIES = 20
 
@@ -66,29 +60,34 @@
 
 /** This VM's copy of the configuration and of the upstreams, kept up to date from the control store. */
 export class ControlState {
-  private readonly directory: UpstreamDirectory
+  private readonly upstreams: RegisteredUpstreams
   readonly evacuations: EvacuationState
   private readonly configReader: TableReader
   private readonly upstreamReader: TableReader
   /** Records of the configuration that could not be used at all. */
   unreadableConfigs = 0
-  private hasReadUpstreams = false
-  private expiryTimer: NodeJS.Timeout | undefined
-  /** When the last outage began, as this VM saw it; undefined once it is known whether other VMs have seen it. */
-  private outageStartedAt: Milliseconds | undefined
 
   private constructor (private readonly options: ControlStateOptions) {
-    const { store, clock, renewalMs, feed, keyConfirmation } = options
-    this.directory = UpstreamDirectory.create({ renewalMs })
+    const { store, clock, logger, renewalMs, feed, services, keyConfirmation } = options
+    this.upstreams = RegisteredUpstreams.create({
+      store,
+      clock,
+      logger,
+      feed,
+      renewalMs,
+      onUpdate: upstreams => services.setUpstreams(upstreams),
+      onSnapshot: () => this.evacuations.logUnknownDomains(),
+      onStoreContact: () => options.onStoreContact?.()
+    })
     this.evacuations = EvacuationState.create({
-      store, clock, logger: options.logger, target: options.services, upstreams: () => this.hasReadUpstreams ? this.directory.list() : undefined
+      store, clock, logger, target: services, upstreams: () => this.upstreams.isLoaded ? this.upstreams.list() : undefined
     })
     this.configReader = TableReader.create({
       store, clock, feed, table: 'configuration', consumer: this.createConfigConsumer(), waitMs: READ_WAIT_MS, pauseMs: 0, maxFeedAgeMs: MAX_FEED_AGE_MS, startsFromCopy: true, confirmation: keyConfirmation
     })
     if (keyConfirmation !== undefined) keyConfirmation.position = () => this.configReader.position
     this.upstreamReader = TableReader.create({
-      store, clock, feed, table: 'upstreams', consumer: this.createUpstreamConsumer(), waitMs: READ_WAIT_MS, pauseMs: UPSTREAMS_PAUSE_MS, maxFeedAgeMs: MAX_FEED_AGE_MS, startsFromCopy: true
+      store, clock, feed, table: 'upstreams', consumer: this.upstreams.consumer, waitMs: READ_WAIT_MS, pauseMs: UPSTREAMS_PAUSE_MS, maxFeedAgeMs: MAX_FEED_AGE_MS, startsFromCopy: true
     })
   }
 
@@ -101,9 +100,9 @@
     return [this.configReader, this.upstreamReader]
   }
 
-  /** Cancels the timer that removes expired entries. */
+  /** Cancels the timers. */
   close (): void {
-    clearTimeout(this.expiryTimer)
+    this.upstreams.close()
     this.evacuations.close()
   }
 
@@ -111,7 +110,7 @@
   missing (): string[] {
     const missing: string[] = []
     if (this.options.services.config === undefined) missing.push('no configuration is known')
-    if (!this.hasReadUpstreams) missing.push('the upstreams are not known')
+    if (!this.upstreams.isLoaded) missing.push('the upstreams are not known')
     return missing
   }
 
@@ -128,7 +127,7 @@
       configAgeMs: this.configReader.ageMs,
       upstreamsAgeMs: this.upstreamReader.ageMs,
       evacuations: this.evacuations.describe(),
-      upstreams: this.directory.list()
+      upstreams: this.upstreams.list()
     }
   }
 
@@ -156,57 +155,12 @@
     }
   }
 
-  private createUpstreamConsumer (): TableConsumer {
-    const { clock, logger } = this.options
-    const outageLog = logStoreOutages(logger, 'upstreams')
-    return {
-      ...outageLog,
-      isOutdated: record => this.isOutdatedUpstream(record),
-      onRecovery: outageMs => {
-        outageLog.onRecovery(outageMs)
-        this.onUpstreamsRecovery(outageMs)
-      },
-      // Upstreams that registered after the copy write their entries again.
-      onRestore: restore => {
-        outageLog.onRestore(restore)
-        this.outageStartedAt = undefined
-        this.directory.onStoreRecovered(clock.now())
-      },
-      onSnapshot: records => this.replaceUpstreams(records),
-      onChanges: records => {
-        const changes = records.map(record => this.applyUpstreamRecord(record))
-        // Most records are heartbeats that change nothing.
-        if (changes.some(change => change !== 'renewed' && change !== 'ignored')) this.updateUpstreams()
-      }
-    }
-  }
-
-  /** Entries may have lapsed during an outage of the store, but not while only this VM was cut off from it. */
-  private onUpstreamsRecovery (outageMs: Milliseconds): void {
-    const now = this.options.clock.now()
-    this.outageStartedAt = now - outageMs
-    this.directory.onStoreRecovered(now)
-    this.options.onStoreContact?.()
-  }
-
-  /** Other VMs' reads may show at once or somewhat later that the store was up. */
-  private checkOutage (): void {
-    if (this.outageStartedAt === undefined || !this.options.feed.wasReadSince('upstreams', this.outageStartedAt)) return
-    this.outageStartedAt = undefined
-    this.directory.endRenewal()
-  }
-
   private isOutdatedConfig (record: TableRecord): boolean {
     const { store, services: { config: inForce } } = this.options
     if (record.key !== CONFIGURATION_KEY || inForce === undefined) return false
     return store.decodeRoutes(record).mapOr(false, ({ version }) => version < inForce.version)
   }
 
-  private isOutdatedUpstream (record: TableRecord): boolean {
-    const entry = this.options.store.decodeUpstream(record)
-    return entry !== undefined && this.directory.isOutdated(entry)
-  }
-
   private applyConfigRecord (record: TableRecord): void {
     if (record.key !== CONFIGURATION_KEY) return
     const { store, services } = this.options
@@ -231,58 +185,6 @@
     logger.info('configuration in force', { version: config.version, previous, routes: config.routes.length, services: config.services.size, customers: config.customers?.size })
     logRejectedEntries(config, logger)
   }
-
-  private replaceUpstreams (records: readonly TableRecord[]): void {
-    const { store, clock, logger } = this.options
-    const entries: UpstreamEntry[] = []
-    for (const record of records) {
-      const entry = store.decodeUpstream(record)
-      if (entry !== undefined) entries.push(entry)
-      else this.logUnusableEntry(record)
-    }
-    this.checkOutage()
-    const removed = this.directory.replaceAll(entries, clock.now())
-    this.hasReadUpstreams = true
-    logger.info('upstreams read', { count: entries.length, removed, kept: this.directory.missing() })
-    this.evacuations.logUnknownDomains()
-    this.updateUpstreams()
-  }
-
-  private logUnusableEntry ({ key }: TableRecord): void {
-    this.options.logger.warn('upstream entry cannot be used', { key })
-  }
-
-  private applyUpstreamRecord (record: TableRecord): DirectoryChange {
-    const { store, clock, logger } = this.options
-    const now = clock.now()
-    const entry = record.value === undefined ? undefined : store.decodeUpstream(record)
-    if (record.value !== undefined && entry === undefined) this.logUnusableEntry(record)
-    const change = entry === undefined ? this.directory.remove(record.key, now) : this.directory.put(entry, now)
-    if (change !== 'renewed' && change !== 'ignored') {
-      logger.info('upstream changed', { upstream: record.key, change, service: entry?.service, incarnation: entry?.incarnation, warmupLeftMs: entry?.warmupLeftMs || undefined })
-    }
-    return change
-  }
-
-  private updateUpstreams (): void {
-    const { clock, services, logger } = this.options
-    this.checkOutage()
-    const expired = this.directory.expire(clock.now())
-    if (expired.length > 0) logger.info('upstreams removed: entries not renewed in time', { upstreams: expired })
-    services.setUpstreams(this.directory.list())
-    this.scheduleExpiry()
-  }
-
-  /** Removes entries that were not renewed, even if no further change arrives. */
-  private scheduleExpiry (): void {
-    clearTimeout(this.expiryTimer)
-    const expiryAt = this.directory.nextExpiryAt()
-    if (expiryAt === undefined) return
-    // A timer may fire slightly early by the clock; nothing has expired then, and it is set again.
-    const leftMs = Math.max(Math.ceil(expiryAt - this.options.clock.now()), MIN_TIMER_MS)
-    const delayMs = this.outageStartedAt === undefined ? leftMs : Math.min(leftMs, OUTAGE_CHECK_INTERVAL_MS)
-    this.expiryTimer = setTimeout(() => this.updateUpstreams(), delayMs)
-  }
 }
 
 function logRejectedEntries ({ version, rejectedEntries = [] }: RouteConfig, logger: Logger): void {
--- a/packages/daemon/src/core/feed/changeFeed.ts
+++ b/packages/daemon/src/core/feed/changeFeed.ts
@@ -4,13 +4,9 @@
 import type { FeedPosition } from '../../types/feedMessage.js'
 import type { FeedPublisher, FeedTable, OffsetChanges, TableCopy } from '../../types/feedTable.js'
 import { includes, isAhead } from '../../utils/tablePosition.js'
-import { mergePeriods, type ReadPeriod } from './readPeriod.js'
-
-/** How far a table was read, by this VM or another one. */
-interface ReadPosition extends TablePosition {
-  /** When the store answered that read, on this VM's clock. */
-  readonly readAt: Milliseconds
-}
+import { FollowedReads, type ReadPosition } from './followedReads.js'
+import { ReadPeriods } from './readPeriods.js'
+import { Waiters } from './waiters.js'
 
 /** The standby reads the store at this share of the age at which other VMs do, so that one VM does it for all. */
 const STANDBY_AGE_SHARE = 0.8
@@ -35,15 +31,12 @@
   private role: FleetRole | undefined
   private publisher: FeedPublisher | undefined
   private readonly ownPositions = new Map<TableName, ReadPosition>()
-  /** Positions by id of the followed VM. */
-  private readonly followedPositions = new Map<string, Map<TableName, ReadPosition>>()
-  /** Followed VMs whose reads are not passed on. */
-  private additionalSources: ReadonlySet<string> = new Set()
-  /** The latest period in which each table was read, by this VM or those that it follows. */
-  private readonly readPeriods = new Map<TableName, ReadPeriod>()
+  private readonly followed = FollowedReads.create()
+  /** Periods of reads by this VM or those that it follows. */
+  private readonly readPeriods = ReadPeriods.create()
   private readonly tables = new Map<TableName, FeedTable>()
   private readonly declined = new Set<TableName>()
-  private readonly waiters = new Set<() => void>()
+  private readonly waiters = Waiters.create()
 
   private constructor (private readonly clock: Clock) {}
 
@@ -60,7 +53,7 @@
   setRole (role: FleetRole | undefined): void {
     if (this.role === role) return
     this.role = role
-    this.notify()
+    this.waiters.wake()
   }
 
   /** Adds a table that is exchanged. */
@@ -73,7 +66,7 @@
    * VMs that follow this one, and none of them would take its place.
    */
   setAdditionalSources (vmIds: ReadonlySet<string>): void {
-    this.additionalSources = vmIds
+    this.followed.additionalSources = vmIds
   }
 
   /** The tables that this VM may take from the copy of another one, as far as that is known to be ahead. */
@@ -85,7 +78,7 @@
   publish (table: TableName, position: TablePosition, changes?: OffsetChanges): void {
     const now = this.clock.now()
     this.ownPositions.set(table, { ...position, readAt: now })
-    this.addPeriod(table, { from: now, to: now })
+    this.readPeriods.add(table, { from: now, to: now })
     if (changes !== undefined && changes.records.length > 0) this.publisher?.onChanges(table, changes)
     this.publisher?.onPosition()
   }
@@ -95,7 +88,7 @@
     const positions: Partial<Record<TableName, FeedPosition>> = {}
     for (const table of this.tables.keys()) {
       const newest = this.newestPosition(table)
-      if (newest !== undefined) positions[table] = { epoch: newest.epoch, end: newest.offset, ageMs: this.ageOfRead(newest), readForMs: this.readForMs(table, newest) }
+      if (newest !== undefined) positions[table] = { epoch: newest.epoch, end: newest.offset, ageMs: this.ageOfRead(newest), readForMs: this.readPeriods.lengthMs(table, newest.readAt) }
     }
     return positions
   }
@@ -117,50 +110,49 @@
   /** Called with the copy of a table that a followed VM has sent. */
   receiveCopy (table: TableName, copy: TableCopy): void {
     this.tables.get(table)?.receiveCopy(copy)
-    this.notify()
+    this.waiters.wake()
     this.publisher?.onPosition()
   }
 
   /** Called when a followed VM does not send a copy. */
   receiveDecline (table: TableName): void {
     this.declined.add(table)
-    this.notify()
+    this.waiters.wake()
   }
 
   /** Called with the positions that a followed VM knows of. */
   receivePositions (vmId: string, positions: Partial<Record<TableName, FeedPosition>>): void {
     const now = this.clock.now()
-    const known = this.followedPositions.get(vmId) ?? new Map<TableName, ReadPosition>()
     const readAtBefore = this.newestReads()
     for (const [table, { epoch, end, ageMs, readForMs = 0 }] of Object.entries(positions) as Array<[TableName, FeedPosition]>) {
       const readAt = now - ageMs
-      known.set(table, { epoch, offset: end, readAt })
-      this.addPeriod(table, { from: readAt - readForMs, to: readAt })
+      this.followed.set(vmId, table, { epoch, offset: end, readAt })
+      this.readPeriods.add(table, { from: readAt - readForMs, to: readAt })
     }
-    this.followedPositions.set(vmId, known)
-    this.notify()
+    this.followed.add(vmId)
+    this.waiters.wake()
     const readAt = this.newestReads()
     if (readAt.some((at, index) => at - (readAtBefore[index] as Milliseconds) > MIN_ADVANCE_MS)) this.publisher?.onPosition()
   }
 
   /** Called when a VM is no longer followed. */
   removeFollowed (vmId: string): void {
-    if (this.followedPositions.delete(vmId)) this.notify()
+    if (this.followed.delete(vmId)) this.waiters.wake()
   }
 
   /** Time since the table was last read, as far as the followed VMs know; infinite if they know of no read. */
   ageMs (table: TableName): Milliseconds {
-    return this.clock.now() - Math.max(...this.positionsOf(table).map(({ readAt }) => readAt), -Infinity)
+    return this.clock.now() - Math.max(...this.followed.of(table).map(({ readAt }) => readAt), -Infinity)
   }
 
   /** Time since the table was last read, as far as the given VM knows; infinite if it knows of no read. */
   ageOf (vmId: string, table: TableName): Milliseconds {
-    return this.clock.now() - (this.followedPositions.get(vmId)?.get(table)?.readAt ?? -Infinity)
+    return this.clock.now() - (this.followed.get(vmId, table)?.readAt ?? -Infinity)
   }
 
   /** Time since the read that this VM's copy of the table includes; undefined while it has no copy. */
   copyAgeMs (table: TableName): Milliseconds | undefined {
-    const newest = this.newestPosition(table, this.positionsOf(table))
+    const newest = this.newestPosition(table, this.followed.of(table))
     return newest === undefined ? undefined : this.ageOfRead(newest)
   }
 
@@ -171,24 +163,23 @@
 
   /** Whether the store is known to have answered reads of the table since then, other VMs' at least. */
   wasReadSince (table: TableName, since: Milliseconds): boolean {
-    const period = this.readPeriods.get(table)
-    return period !== undefined && period.from <= since
+    return this.readPeriods.includes(table, since)
   }
 
   /** Whether a followed VM knows of changes to the table beyond `reached`. */
   isBehind (table: TableName, reached: TablePosition): boolean {
-    return this.positionsOf(table).some(position => isAhead(position, reached))
+    return this.followed.of(table).some(position => isAhead(position, reached))
   }
 
   /** Waits until another VM's copy of the table has arrived, or none is to be expected. */
   async waitForCopy (table: FeedTable, signal: AbortSignal): Promise<void> {
     const startedAt = this.clock.now()
     while (this.role === undefined && this.clock.now() < startedAt + ROLE_WAIT_MS && !signal.aborted) {
-      await this.waitForChange(startedAt + ROLE_WAIT_MS - this.clock.now(), signal)
+      await this.waiters.wait(startedAt + ROLE_WAIT_MS - this.clock.now(), signal)
     }
     const until = this.clock.now() + COPY_WAIT_MS
     while (this.mayReceiveCopy(table) && this.clock.now() < until && !signal.aborted) {
-      await this.waitForChange(until - this.clock.now(), signal)
+      await this.waiters.wait(until - this.clock.now(), signal)
     }
   }
 
@@ -200,7 +191,7 @@
     let wasCovered = false
     while (!signal.aborted && this.covers(table, reached(), maxAgeMs)) {
       wasCovered = true
-      await this.waitForChange(this.ageLimitMs(maxAgeMs) - this.ageMs(table), signal)
+      await this.waiters.wait(this.ageLimitMs(maxAgeMs) - this.ageMs(table), signal)
     }
     return wasCovered
   }
@@ -211,13 +202,13 @@
     const wasDependent = this.isDependent
     while (!signal.aborted && this.clock.now() < until && !this.covers(table, reached(), maxAgeMs)) {
       if (wasDependent && !this.isDependent) return
-      await this.waitForChange(until - this.clock.now(), signal)
+      await this.waiters.wait(until - this.clock.now(), signal)
     }
   }
 
   /** Whether this VM relies on others and is in contact with at least one. */
   get isFollowing (): boolean {
-    return this.isDependent && this.followedPositions.size > 0
+    return this.isDependent && this.followed.vms > 0
   }
 
   /**
@@ -226,7 +217,7 @@
    */
   covers (table: TableName, reached: TablePosition | undefined, maxAgeMs: Milliseconds): boolean {
     if (!this.isDependent || reached === undefined) return false
-    const fresh = this.positionsOf(table).filter(({ readAt }) => this.clock.now() - readAt <= this.ageLimitMs(maxAgeMs))
+    const fresh = this.followed.of(table).filter(({ readAt }) => this.clock.now() - readAt <= this.ageLimitMs(maxAgeMs))
     return fresh.some(({ epoch }) => epoch === reached.epoch) && !fresh.some(position => isAhead(position, reached))
   }
 
@@ -244,12 +235,12 @@
 
   /** Without a copy of its own, this VM takes any. */
   private mayBeAhead (vmId: string, { table, position }: FeedTable): boolean {
-    const known = this.followedPositions.get(vmId)?.get(table)
+    const known = this.followed.get(vmId, table)
     return position === undefined || (known !== undefined && isAhead(known, position))
   }
 
   /** The newest read that this VM's copy includes, of its own and of those `followed` that are passed on. */
-  private newestPosition (table: TableName, followed = this.passedOnPositionsOf(table)): ReadPosition | undefined {
+  private newestPosition (table: TableName, followed = this.followed.passedOn(table)): ReadPosition | undefined {
     const reached = this.tables.get(table)?.position
     if (reached === undefined) return undefined
     const own = this.ownPositions.get(table)
@@ -262,41 +253,7 @@
     return [...this.tables.keys()].map(table => this.newestPosition(table)?.readAt ?? -Infinity)
   }
 
-  private passedOnPositionsOf (table: TableName): ReadPosition[] {
-    return [...this.followedPositions].flatMap(([vmId, positions]) => this.additionalSources.has(vmId) ? [] : positions.get(table) ?? [])
-  }
-
-  private positionsOf (table: TableName): ReadPosition[] {
-    return [...this.followedPositions.values()].flatMap(positions => positions.get(table) ?? [])
-  }
-
-  private addPeriod (table: TableName, period: ReadPeriod): void {
-    this.readPeriods.set(table, mergePeriods(this.readPeriods.get(table), period))
-  }
-
-  private readForMs (table: TableName, { readAt }: ReadPosition): Milliseconds {
-    return Math.max(0, Math.round(readAt - (this.readPeriods.get(table)?.from ?? readAt)))
-  }
-
   private ageOfRead ({ readAt }: ReadPosition): Milliseconds {
     return Math.max(0, Math.round(this.clock.now() - readAt))
   }
-
-  private waitForChange (withinMs: Milliseconds, signal: AbortSignal): Promise<void> {
-    return new Promise(resolve => {
-      const done = (): void => {
-        clearTimeout(timer)
-        signal.removeEventListener('abort', done)
-        this.waiters.delete(done)
-        resolve()
-      }
-      const timer = setTimeout(done, Math.max(Math.ceil(withinMs), 1))
-      signal.addEventListener('abort', done)
-      this.waiters.add(done)
-    })
-  }
-
-  private notify (): void {
-    for (const wake of [...this.waiters]) wake()
-  }
 }
--- a/packages/daemon/src/core/gateway/gateway.ts
+++ b/packages/daemon/src/core/gateway/gateway.ts
@@ -3,11 +3,12 @@
 import type { DaemonStatus } from '../../types/daemonStatus.js'
 import type { GatewaySettings } from '../../types/gatewaySettings.js'
 import { Drain } from './drain.js'
+import { WorkReport } from '../supervision/workReport.js'
 import { createGatewayMetrics } from './gatewayMetrics.js'
 import { GatewayParts, type GatewayDependencies } from './gatewayParts.js'
 import { StatusReport } from './statusReport.js'
 import { StopPlan } from './stopPlan.js'
-import { tableReadersOf } from './workCounters.js'
+import { tableReadersOf, workCountersOf } from './workCounters.js'
 
 /** How often attempts that wait for a slow caller report progress; short compared with the shortest stall timeout. */
 const PROGRESS_REPORT_INTERVAL_MS: Milliseconds = 50
@@ -16,6 +17,7 @@
 export class Gateway {
   private readonly parts: GatewayParts
   private readonly report: StatusReport
+  private readonly workReport: WorkReport
   /** Set once the daemon is stopping. */
   private stopPlan: StopPlan | undefined
   private stopped: Promise<number> | undefined
@@ -29,6 +31,7 @@
       status: () => this.status(),
       describe: () => this.report.describe()
     })
+    this.workReport = WorkReport.create(this.parts.clock, this.parts.eventLog.logger, () => workCountersOf(this.parts))
     this.report = StatusReport.create(this.parts, settings, () => this.stopPlan !== undefined)
   }
 
@@ -38,20 +41,20 @@
 
   /** Ports that the daemon listens on. */
   get ports (): { readonly public: number, readonly readiness: number, readonly admin: number } {
-    const { callerServer, readinessServer, adminServer } = this.parts
-    return { public: callerServer.port, readiness: readinessServer.port, admin: adminServer.port }
+    const { callers, readiness, admin } = this.parts.servers
+    return { public: callers.port, readiness: readiness.port, admin: admin.port }
   }
 
   /** Starts reading the control store and serving requests. */
   async start (): Promise<void> {
-    const { services, supervisor, fleet, handover, eventLoopMonitor, workReport, eventLog: { logger } } = this.parts
+    const { services, supervisor, fleet, handover, eventLoopMonitor, eventLog: { logger } } = this.parts
     const { vmId, failureDomain } = this.settings
     this.progressTimer = setInterval(() => services.reportProgressOfWaiting(), PROGRESS_REPORT_INTERVAL_MS)
     for (const component of this.components()) await supervisor.add(component)
     fleet.start()
     handover?.start()
     eventLoopMonitor.start()
-    workReport.start()
+    this.workReport.start()
     logger.info('started', { vm: vmId, failureDomain })
   }
 
@@ -88,17 +91,17 @@
 
   /** All supervised components, in the order in which they start. */
   private components (): readonly Component[] {
-    const { fleet, peerServer, callerServer, readinessServer, adminServer } = this.parts
-    const peerServers = peerServer === undefined ? [] : [peerServer]
-    return [fleet.server, ...peerServers, ...tableReadersOf(this.parts), callerServer, readinessServer, adminServer]
+    const { fleet, servers: { peers, outer } } = this.parts
+    const peerServers = peers === undefined ? [] : [peers]
+    return [fleet.server, ...peerServers, ...tableReadersOf(this.parts), ...outer]
   }
 
   private async drain (): Promise<number> {
-    const { clock, proxy, callerServer, services, handover, eventLog: { logger } } = this.parts
+    const { clock, proxy, servers: { callers }, services, handover, eventLog: { logger } } = this.parts
     const plan = StopPlan.create(clock.now(), this.settings.graceMs)
     this.stopPlan = plan
     logger.info('stopping', { inFlight: proxy.inFlight })
-    const interrupted = await Drain.create({ plan, clock, proxy, callerServer, forwarders: () => services.forwarders(), handover }).run()
+    const interrupted = await Drain.create({ plan, clock, proxy, callerServer: callers, forwarders: () => services.forwarders(), handover }).run()
     logger.info('stopped', { interrupted })
     await this.releaseResources()
     await this.parts.eventLog.flush()
@@ -109,7 +112,7 @@
     const { parts } = this
     clearInterval(this.progressTimer)
     parts.eventLoopMonitor.stop()
-    parts.workReport.stop()
+    this.workReport.stop()
     parts.handover?.stop()
     await parts.supervisor.stop()
     parts.controlState.close()
--- a/packages/daemon/src/core/gateway/gatewayMetrics.ts
+++ b/packages/daemon/src/core/gateway/gatewayMetrics.ts
@@ -25,7 +25,7 @@
     handover: () => parts().handover?.snapshot(),
     processorSeconds: () => processorMs() / MS_PER_SECOND,
     feedMessages: () => parts().fleet.messages,
-    closedConnections: () => parts().callerServer.closedConnections,
+    closedConnections: () => parts().servers.callers.closedConnections,
     evictedBodies: () => parts().bodyBudget.evicted,
     logWrites: () => parts().eventLog.writes,
     storeReads: () => tableReadersOf(parts()).map(({ table, reads }) => ({ table, reads })),
--- a/packages/daemon/src/core/gateway/gatewayParts.ts
+++ b/packages/daemon/src/core/gateway/gatewayParts.ts
@@ -4,7 +4,6 @@
 import type { Milliseconds } from '@cowsliplead/core/types/clock.js'
 import type { PolicyDocument } from '@cowsliplead/core/types/policyDocument.js'
 import type { ControlStore } from '../../types/controlStore.js'
-import type { DaemonStatus } from '../../types/daemonStatus.js'
 import type { Dialect } from '../../types/dialect.js'
 import type { GatewaySettings } from '../../types/gatewaySettings.js'
 import { DEFAULT_MACHINE_LIMITS, type MachineLimits } from '../../types/machineLimits.js'
@@ -23,27 +22,21 @@
 import { Fleet } from '../feed/fleet.js'
 import { MEMBERS_GROUP } from '../feed/membership.js'
 import { Handover } from '../handover/handover.js'
-import type { Metrics } from '../operators/metrics.js'
 import { BodyBudget } from '../overload/bodyBudget.js'
-import { maxConnectionsOf, type ServerPurpose } from '../overload/connectionLimit.js'
-import { PeerServer } from '../peers/peerServer.js'
+import { maxConnectionsOf } from '../overload/connectionLimit.js'
 import { Quotas } from '../quotas/quotas.js'
 import { EventLoopMonitor } from '../supervision/eventLoopMonitor.js'
 import { Supervisor } from '../supervision/supervisor.js'
 import { TickTimer } from '../supervision/tickTimer.js'
-import { WorkReport } from '../supervision/workReport.js'
-import { AdminServer } from './adminServer.js'
 import type { BoundedOutput } from './boundedOutput.js'
+import type { GatewayHost } from './gatewayHost.js'
 import { CallLog } from './callLog.js'
-import { CallerServer } from './callerServer.js'
 import { EventLog } from './eventLog.js'
 import { FleetPolicy, INITIAL_FLEET_SIZE } from './fleetPolicy.js'
+import { GatewayServers } from './gatewayServers.js'
 import { GatewayServices } from './gatewayServices.js'
 import { MonotonicClock } from './monotonicClock.js'
-import { ReadinessServer } from './readinessServer.js'
 import { routingPolicyOf } from './routingDefaults.js'
-import type { StopPlan } from './stopPlan.js'
-import { workCountersOf } from './workCounters.js'
 
 const CONNECT_TIMEOUT_MS: Milliseconds = 500
 
@@ -58,16 +51,6 @@
   readonly output?: BoundedOutput
 }
 
-/** What the parts need of the daemon as a whole. */
-export interface GatewayHost {
-  readonly metrics: Metrics
-  /** Undefined unless the daemon is stopping. */
-  stopPlan (): StopPlan | undefined
-  unreadyReasons (): readonly string[]
-  status (): DaemonStatus
-  describe (): Record<string, unknown>
-}
-
 /** The parts of the daemon, created and connected to each other but not started. */
 export class GatewayParts {
   readonly clock = MonotonicClock.create()
@@ -85,20 +68,15 @@
   readonly sharedSuspects: SharedSuspects
   readonly fleetTable: FleetTable
   readonly fleet: Fleet
-  /** Undefined if this VM takes no requests of the others. */
-  readonly peerServer: PeerServer | undefined
   readonly quotas: Quotas
   /** Undefined if this VM takes no requests of the others. */
   readonly handover: Handover | undefined
   /** What the bodies of callers' requests may take together. */
   readonly bodyBudget: BodyBudget
   readonly proxy: Proxy
-  readonly callerServer: CallerServer
-  readonly readinessServer: ReadinessServer
-  readonly adminServer: AdminServer
+  readonly servers: GatewayServers
   readonly supervisor: Supervisor
   readonly eventLoopMonitor: EventLoopMonitor
-  readonly workReport: WorkReport
   /** Stalls of the event loop since the start. */
   stallCount = 0
 
@@ -122,10 +100,7 @@
     this.controlState = ControlState.create({
       store, clock, services: this.services, logger, feed, keyConfirmation: this.keyConfirmation, renewalMs: settings.renewalMs,
       onStoreContact: () => this.fleet.retryLost(),
-      onConfig: limits => {
-        this.callerServer.applyLimits(limits)
-        this.peerServer?.applyLimits(limits)
-      }
+      onConfig: limits => this.servers.applyLimits(limits)
     })
     this.policyRestorer = this.createPolicyRestorer()
     const onDocument = (document: PolicyDocument): void => this.services.setPolicyDocument(document)
@@ -135,17 +110,9 @@
     this.fleetTable = FleetTable.create({ store, clock, logger, feed, consumers })
     this.quotas = Quotas.create({ settings, members, clock, random: this.random, logger, config: () => this.services.config })
     this.proxy = this.createProxy()
-    this.peerServer = this.createPeerServer()
-    this.callerServer = CallerServer.create({ address: settings.publicAddress, proxy: this.proxy, maxConnections: this.maxConnections('callers') })
-    this.readinessServer = ReadinessServer.create({
-      address: settings.readinessAddress, maxConnections: this.maxConnections('readiness'), path: settings.readinessPath, unreadyReasons: () => host.unreadyReasons()
-    })
-    this.adminServer = AdminServer.create({
-      address: settings.adminAddress, maxConnections: this.maxConnections('operators'), metrics: host.metrics, status: () => host.status(), dump: () => host.describe()
-    })
+    this.servers = this.createServers()
     this.supervisor = this.createSupervisor()
     this.eventLoopMonitor = EventLoopMonitor.create(clock, lengthMs => this.onStall(lengthMs))
-    this.workReport = WorkReport.create(clock, logger, () => workCountersOf(this))
   }
 
   static create (settings: GatewaySettings, dependencies: GatewayDependencies, host: GatewayHost): GatewayParts {
@@ -156,10 +123,6 @@
     return this.settings.machine ?? DEFAULT_MACHINE_LIMITS
   }
 
-  private maxConnections (purpose: ServerPurpose): number {
-    return maxConnectionsOf(this.machine, purpose)
-  }
-
   private createServices (members: FleetMembers): GatewayServices {
     const { clock, tickTimer, settings, eventLog } = this
     const latencyHistogram = this.host.metrics.createLatencyHistogram()
@@ -190,8 +153,8 @@
       members,
       failureDomain: settings.failureDomain,
       address: settings.feedAddress,
-      maxConnections: this.maxConnections('feed'),
-      peerAddress: () => this.peerServer?.address,
+      maxConnections: maxConnectionsOf(this.machine, 'feed'),
+      peerAddress: () => this.servers.peers?.address,
       store,
       clock,
       logger,
@@ -242,17 +205,17 @@
     })
   }
 
-  private createPeerServer (): PeerServer | undefined {
-    const { peerAddress } = this.settings
-    if (peerAddress === undefined) return undefined
-    return PeerServer.create({
-      address: peerAddress,
-      maxConnections: this.maxConnections('vms'),
-      handlers: {
+  private createServers (): GatewayServers {
+    return GatewayServers.create({
+      settings: this.settings,
+      machine: this.machine,
+      host: this.host,
+      proxy: this.proxy,
+      peerHandlers: {
         quota: this.quotas.handler,
         handover: (request, response) => this.handover?.handlePeer(request, response)
       },
-      onError: error => this.onInternalError('a request of another VM', error)
+      onPeerError: error => this.onInternalError('a request of another VM', error)
     })
   }
 
