--- a/packages/daemon/__tests__/bodyBudget.test.ts
+++ b/packages/daemon/__tests__/bodyBudget.test.ts
@@ -1,4 +1,8 @@
+import { EventEmitter } from 'node:events'
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { PassThrough } from 'node:stream'
 import { expect } from 'chai'
+import { readBody } from '../src/core/callers/requestBody.js'
 import { BodyBudget } from '../src/core/overload/bodyBudget.js'
 
 const KILOBYTE = 1024
@@ -56,4 +60,24 @@
     for (const name of ['g', 'h', 'i', 'j', 'k']) receive(name, 170 * KILOBYTE)
     expect(evicted).to.deep.equal([])
   })
+
+  // Guards against a second answer to a request that was refused and whose first is still being sent.
+  it('does not give up a body that was refused before', () => {
+    const outcomes: string[] = []
+    const request = Object.assign(new PassThrough(), { headers: { 'transfer-encoding': 'chunked' } })
+    readBody(request as unknown as IncomingMessage, new EventEmitter() as ServerResponse, {
+      timeoutMs: 60_000,
+      maxBytes: 200 * KILOBYTE,
+      budget,
+      onBody: () => outcomes.push('body'),
+      onTimeout: () => outcomes.push('timeout'),
+      onTooLarge: () => outcomes.push('tooLarge'),
+      onEvicted: () => outcomes.push('evicted'),
+      onExceeded: () => outcomes.push('exceeded')
+    })
+    request.emit('data', Buffer.alloc(199 * KILOBYTE))
+    request.emit('data', Buffer.alloc(2 * KILOBYTE))
+    for (let index = 0; index < 12; index++) receive('other', 100 * KILOBYTE)
+    expect(outcomes).to.deep.equal(['tooLarge'])
+  })
 })
--- a/packages/daemon/src/core/callers/requestBody.ts
+++ b/packages/daemon/src/core/callers/requestBody.ts
@@ -56,10 +56,7 @@
   response.once('close', () => charge.release())
   const onData = (chunk: Buffer): void => {
     const size = body.length + chunk.length
-    if (size > options.maxBytes) {
-      stop()
-      return options.onTooLarge()
-    }
+    if (size > options.maxBytes) return refuse(options.onTooLarge)
     if (size <= MAX_BUFFERED_REQUEST_BYTES) {
       body.append(chunk)
       return charge.onChunk(body.capacity)
@@ -79,10 +76,12 @@
     request.off('end', onEnd)
     request.off('close', stop)
   }
-  const timer = setTimeout(() => {
+  const refuse = (respond: () => void): void => {
     stop()
-    options.onTimeout()
-  }, options.timeoutMs)
+    charge.release()
+    respond()
+  }
+  const timer = setTimeout(() => refuse(options.onTimeout), options.timeoutMs)
   request.on('data', onData)
   request.on('end', onEnd)
   request.on('close', stop)
