--- a/packages/daemon/src/core/overload/bodyBudget.ts
+++ b/packages/daemon/src/core/overload/bodyBudget.ts
@@ -6,7 +6,7 @@
 const BYTES_PER_MB = 1024 * 1024
 
 /** Counted for each chunk of a body that has not ended: what handling it costs does not depend on its length. */
-const CHUNK_BYTES = 128
+const CHUNK_BYTES = 512
 
 /** Refuses the request of a body, or closes its connection. */
 export type EvictBody = () => void
